--- /dev/null
+++ b/loftrelay/__init__.py
@@ -0,0 +1,1 @@
+"""loftrelay: takes on messages over HTTP and owes each of them its end."""
--- /dev/null
+++ b/loftrelay/__main__.py
@@ -0,0 +1,86 @@
+"""Starts the relay, and stops it in order on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+import time
+
+from loftrelay.config import Config, ConfigError, load_config
+from loftrelay.engine import Engine
+from loftrelay.journal import Journal
+from loftrelay.server import Server
+
+log = logging.getLogger("loftrelay")
+
+# After SIGTERM, in seconds: clients are taken until, calls are begun until, the process ends at the latest.
+ACCEPT, BEGIN, END = 0.6, 2.0, 3.3
+LINES, SPAN = 200, 10.0  # log lines in a span; what comes beyond is counted, not written
+
+
+class Throttle(logging.Filter):
+    """A fault that recurs must not fill the log."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.since, self.lines = 0.0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        now = time.monotonic()
+        if now - self.since > SPAN:
+            if self.lines > LINES:
+                print(f"{self.lines - LINES} lines left out", file=sys.stderr)
+            self.since, self.lines = now, 0
+        self.lines += 1
+        return self.lines <= LINES
+
+
+async def serve(config: Config) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    journal = Journal(config.state, config.disk_bytes)
+    engine = Engine(config, journal)
+    notices = asyncio.create_task(engine.notices.run())
+    server = Server(engine, config.sockets // 2)
+    await server.listen(*config.listen)
+    log.info("%s listens on %s:%d", config.name, *config.listen)
+    await stop.wait()
+    began = loop.time()
+    server.stopping = True
+    await asyncio.sleep(ACCEPT)
+    server.close()
+    while loop.time() < began + BEGIN and journal.held:
+        await asyncio.sleep(0.02)
+    engine.stopped = True
+    while loop.time() < began + END and (engine.hosts.calls or engine.notices.waiting):
+        await asyncio.sleep(0.02)
+    log.info("%s ends with %d messages in its journal", config.name, len(journal.held))
+    notices.cancel()
+    engine.discovery.close()
+    engine.hosts.close()
+    journal.close()
+
+
+def main() -> int:
+    handler = logging.StreamHandler()
+    handler.addFilter(Throttle())
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", handlers=[handler])
+    try:
+        config = load_config(os.environ)
+        asyncio.run(serve(config))
+    except ConfigError as error:
+        print(f"loftrelay: configuration: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"loftrelay: can't start: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/loftrelay/config.py
@@ -0,0 +1,70 @@
+"""What the relay is told: the environment and the JSON file that RELAY_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from mulleinlead.adapter import read_settings
+from mulleinlead.interface import Settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """One plain line for the operator."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    state: Path
+    seed: int
+    sockets: int
+    disk_bytes: int
+    settings: Settings
+    known: Mapping[str, Any]
+
+
+def parse_address(text: Any) -> Address:
+    """'10.0.0.4:9000' or '[::1]:9000'."""
+    host, _, port = str(text).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ValueError(f"{text!r} is not an address with a port")
+    return host.strip("[]"), int(port)
+
+
+def load_config(environ: Mapping[str, str]) -> Config:
+    """The environment names what it names; the rest comes from the file."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path} can't be read: {error}") from error
+    if not isinstance(told, dict):
+        raise ConfigError(f"{path} does not hold a JSON object")
+    limits = told.get("limits", {})
+    try:
+        return Config(
+            name=environ.get("RELAY_NAME") or str(told["name"]),
+            listen=parse_address(environ.get("RELAY_LISTEN") or told["listen"]),
+            discovery=parse_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
+            state=Path(environ["RELAY_STATE"]),
+            seed=int(str(told.get("seed", "0")), 16),
+            sockets=int(limits.get("sockets", 1024)),
+            disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
+            # On sockets the list is always asked for, and a message not delivered ends by a notice.
+            settings=replace(read_settings(told["settings"]), list_on_request=True, ends_by_notice=True),
+            known=told.get("known") or {},
+        )
+    except KeyError as error:
+        raise ConfigError(f"{error.args[0]} is not told, neither in the environment nor in {path}") from error
+    except (AttributeError, TypeError, ValueError) as error:
+        raise ConfigError(f"{path} holds a bad value: {error}") from error
--- /dev/null
+++ b/loftrelay/discovery.py
@@ -0,0 +1,169 @@
+"""Talks to the platform: the list of hosts, the watch on it, and notices of how messages ended."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from loftrelay.config import Address, parse_address
+from loftrelay.http import Answer, Connection, ConnectionBroken
+from mulleinlead.interface import Entry, Form, Listing, State
+
+log = logging.getLogger(__name__)
+
+WATCH_WAIT = 5.0  # how long discovery may hold a watch; shorter means that a lost one is noticed sooner
+PATIENCE = 2.0  # for an answer, beyond that wait
+LEAST_GAP = 0.05  # between calls: a watch that answers at once must not become a busy loop
+NOTICE_PAUSES = (0.05, 1.0)  # before a failed notice is sent again: at first, at most
+MOST_NOTICES = 500  # in one call
+STATES = {"Ready": State.LISTED, "Terminating": State.DRAINING, "Gone": State.GONE}
+
+
+def read_list(told: Any) -> tuple[int, bool, list[tuple[Entry, Address]]]:
+    """Revision, whether the list is whole, and its entries. Raises ValueError when it can't be read."""
+    if not isinstance(told, Mapping) or not isinstance(told.get("members"), list):
+        raise ValueError("the list has no members")
+    if not isinstance(told.get("revision"), int) or not isinstance(told.get("complete"), bool):
+        raise ValueError("the list has no revision, or does not say whether it is complete")
+    entries = []
+    for row in told["members"]:
+        try:
+            size, identity, cell = row.get("size"), row["id"], row["cell"]
+            if not isinstance(identity, str) or not isinstance(cell, int):
+                raise ValueError("id or cell is of the wrong type")
+            entry = Entry(
+                identity, cell, STATES[row["phase"]], row.get("locality"), row.get("flavor"),
+                float(size) if isinstance(size, int | float) else None,
+            )  # fmt: skip
+            entries.append((entry, parse_address(row["host_port"])))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            log.warning("an entry of the list is passed over: %r", error)
+    return told["revision"], told["complete"], entries
+
+
+class Caller:
+    """Keeps one connection to discovery, and opens another when it is gone."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.connection: Connection | None = None
+
+    async def ask(self, method: str, target: str, timeout: float, body: bytes = b"") -> Answer:
+        """Raises OSError (TimeoutError among them) or ConnectionBroken."""
+        kept, self.connection = self.connection, None
+        headers = {"Host": "discovery", "Content-Length": str(len(body))}
+        try:
+            async with asyncio.timeout(timeout):
+                if kept is None or not kept.usable():
+                    if kept is not None:
+                        kept.close()
+                    kept = await Connection.open(self.address, timeout)
+                answer = await kept.request(method, target, headers, body)
+            self.connection = kept
+            return answer
+        finally:
+            if kept is not None and self.connection is None:
+                kept.close()
+
+
+class Discovery:
+    def __init__(self, address: Address, tell: Callable[[Listing, Mapping[str, Address]], None]) -> None:
+        self.caller = Caller(address)
+        self.tell = tell
+        self.revision: int | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def take_known(self, known: Mapping[str, Any]) -> None:
+        """The list as this relay last had it."""
+        try:
+            revision, _, entries = read_list(known)
+        except ValueError as error:
+            if known:
+                log.warning("the known list is passed over: %s", error)
+            self.tell(Listing(Form.CACHED, ()), {})
+            return
+        self.revision = revision
+        self._tell(Form.CACHED, entries)
+
+    def watch(self) -> None:
+        if self.task is None or self.task.done():
+            self.task = asyncio.create_task(self._watch())
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    def _tell(self, form: Form, entries: list[tuple[Entry, Address]]) -> None:
+        self.tell(Listing(form, tuple(e for e, _ in entries)), {e.endpoint: a for e, a in entries})
+
+    async def _watch(self) -> None:
+        """Goes on until a call fails; then the module says when to ask again."""
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                asked = loop.time()
+                target, wait = "/registry/instances", 0.0
+                if self.revision is not None:
+                    wait = WATCH_WAIT
+                    target += f"?index={self.revision}&wait={int(wait * 1000)}"
+                answer = await self.caller.ask("GET", target, wait + PATIENCE)
+                if answer.status != 200:
+                    raise ValueError(f"discovery answers {answer.status}")
+                self.revision, complete, entries = read_list(json.loads(answer.body))
+                self._tell(Form.FULL if complete else Form.CHANGES, entries)
+                await asyncio.sleep(max(0.0, asked + LEAST_GAP - loop.time()))
+        except (OSError, ConnectionBroken, ValueError, RecursionError) as error:
+            log.warning("the watch failed: %r", error)
+            self.tell(Listing(Form.FAILED, ()), {})
+
+
+class Notices:
+    """Tells the platform how messages ended, until it has heard."""
+
+    def __init__(self, address: Address, heard: Callable[[str], None]) -> None:
+        self.caller = Caller(address)
+        self.heard = heard
+        self.waiting: dict[str, dict[str, Any]] = {}
+        self.wanted = asyncio.Event()
+        self.most = MOST_NOTICES
+
+    def add(self, message: str, notice: dict[str, Any]) -> None:
+        self.waiting[message] = {"id": message, **notice}
+        self.wanted.set()
+
+    async def run(self) -> None:
+        pause = NOTICE_PAUSES[0]
+        while True:
+            await self.wanted.wait()
+            names = list(self.waiting)[: self.most]
+            if await self._report(names):
+                pause = NOTICE_PAUSES[0]
+            else:
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, NOTICE_PAUSES[1])
+            if not self.waiting:
+                self.wanted.clear()
+
+    async def _report(self, names: list[str]) -> bool:
+        body = "".join(json.dumps(self.waiting[n], separators=(",", ":")) + "\n" for n in names).encode()
+        try:
+            status = (await self.caller.ask("POST", "/reports", PATIENCE, body)).status
+        except (OSError, ConnectionBroken) as error:
+            log.warning("notices were not answered: %r", error)
+            return False
+        if status == 400 and len(names) > 1:
+            self.most = 1  # find the line that can't be read
+            return True
+        self.most = MOST_NOTICES if status == 204 else self.most
+        if status not in (204, 400):
+            log.warning("notices were answered with %d", status)
+            return False
+        if status == 400:
+            log.error("a notice can't be read: %s", self.waiting[names[0]])
+        for name in names:
+            del self.waiting[name]
+            self.heard(name)
+        return True
--- /dev/null
+++ b/loftrelay/engine.py
@@ -0,0 +1,203 @@
+"""Owns the Brain: gathers events into turns of the told tick and carries its actions out in order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from loftrelay.config import Address, Config
+from loftrelay.discovery import Discovery, Notices
+from loftrelay.hosts import Ending, Hosts
+from loftrelay.journal import Held, Journal, JournalFull, wall_clock
+from mulleinlead import interface as api
+from mulleinlead.brain import Brain
+
+log = logging.getLogger(__name__)
+
+NO_TICK = 5_000
+TAKEN, REFUSED, FAILED = 202, 503, 500
+REFUSED_HERE_MS = 1_000  # when to come back after a refusal for want of room
+
+
+class Engine:
+    def __init__(self, config: Config, journal: Journal) -> None:
+        self.settings = config.settings
+        self.journal = journal
+        self.brain = Brain(config.seed, config.settings)
+        self.hosts = Hosts(
+            config.settings.connect_timeout, config.settings.idle_limit, config.sockets // 4,
+            journal.tried, self._ended,
+        )  # fmt: skip
+        self.discovery = Discovery(config.discovery, self._listed)
+        self.notices = Notices(config.discovery, self._noticed)
+        self.tick = (config.settings.tick or NO_TICK) / 1e6
+        self.bundles: dict[str, int] = {}
+        self.sent_at: dict[str, int] = {}
+        self.unanswered: dict[str, Callable[[int, int], None]] = {}
+        self.events: list[api.Event] = []
+        self.turn_due = False
+        self.last_turn = 0.0
+        self.now = 0
+        self.open = 0  # messages whose end is not decided
+        self.stopped = False
+        self._recover(config.known)
+
+    # Events
+
+    def _post(self, event: api.Event) -> None:
+        self.events.append(event)
+        if not self.turn_due:
+            self.turn_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_at(max(loop.time(), self.last_turn + self.tick), self._turn)
+
+    def submit(self, held: Held, answer: Callable[[int, int], None]) -> None:
+        """Takes a message in. The answer, a status and when to come back (ms), is given in this turn."""
+        if self.stopped or self.open >= (self.settings.max_held or self.open + 1):
+            answer(REFUSED, REFUSED_HERE_MS)
+            return
+        try:
+            self.journal.take(held)
+        except JournalFull:
+            answer(REFUSED, REFUSED_HERE_MS)
+            return
+        self.open += 1
+        self.unanswered[held.id] = answer
+        self._post(self._submission(held))
+
+    def withdraw(self, message: str) -> None:
+        """The client went before its answer."""
+        if self.unanswered.pop(message, None) is not None:
+            self._over(self.journal.held[message])
+            self._post(api.Withdrawn(message))
+
+    def _submission(self, held: Held) -> api.Submit:
+        remaining = held.deadline - wall_clock()
+        return api.Submit(held.id, held.destination, held.class_name, held.tenant, remaining, held.key)
+
+    def _recover(self, known: Mapping[str, Any]) -> None:
+        """What was held before a restart enters in its first order."""
+        self.discovery.take_known(known)
+        now = wall_clock()
+        messages = sorted(self.journal.held.values(), key=lambda held: held.number)
+        for held in messages:
+            if held.tried_at is not None:
+                self.journal.outcome(held, api.Result.BROKEN)  # the restart broke its connection
+        for key, doubt in self.journal.doubts.items():
+            remaining = doubt + (self.settings.rest_after_doubt or 0) - now
+            if remaining > 0:
+                self._post(api.KeyRest(key, remaining))
+        for held in messages:
+            ran_ago = None if held.ran_at is None else max(0, now - held.ran_at)
+            self._post(
+                api.Recovered(
+                    self._submission(held), max(0, now - held.taken_at), held.attempts, ran_ago, held.ran_on,
+                    ended=held.notice is not None,
+                )
+            )  # fmt: skip
+            if held.notice is None:
+                self.open += 1
+            else:
+                self.notices.add(held.id, held.notice)
+        if messages:
+            log.info("%d messages taken up again", len(messages))
+
+    def _listed(self, listing: api.Listing, addresses: Mapping[str, Address]) -> None:
+        self.hosts.addresses.update(addresses)
+        for entry in listing.entries:
+            kind = self.settings.kinds.get(entry.kind or "")
+            self.bundles[entry.endpoint] = (kind and kind.bundle_max) or 1
+            if entry.state is not api.State.LISTED:
+                self.hosts.close_idle(entry.endpoint)
+        self._post(listing)
+
+    def _ended(self, held: Held, host: str, ending: Ending) -> None:
+        """An attempt's outcome."""
+        if ending.over:
+            self._over(held)
+        else:
+            self.journal.outcome(held, ending.result)
+        elapsed = self._clock() - self.sent_at.pop(held.id, self._clock())
+        self._post(
+            api.Outcome(
+                held.id, held.attempts - 1, host, ending.result, elapsed, ending.over, ending.wait, None, None
+            )
+        )
+
+    def _noticed(self, message: str) -> None:
+        self.journal.over(self.journal.held[message])
+        self._post(api.Noticed(message))
+
+    def _over(self, held: Held) -> None:
+        self.open -= 1
+        self.journal.over(held)
+
+    def _ring(self, due: int) -> None:
+        self.now = max(self.now, due)  # never a little early
+        self._post(api.Timer(0))
+
+    # Turns
+
+    def _clock(self) -> int:
+        return max(self.now, int(asyncio.get_running_loop().time() * 1e6))
+
+    def _turn(self) -> None:
+        self.turn_due = False
+        if self.stopped:
+            return
+        self.now = self._clock()
+        self.last_turn = asyncio.get_running_loop().time()
+        events, self.events = self.events, []
+        calls: dict[str, list[api.Send]] = {}
+        for action in self.brain.handle(self.now, events):
+            match action:
+                case api.Send():
+                    calls.setdefault(action.endpoint, []).append(action)
+                case api.Refuse(message, retry_in):
+                    self._end(message, REFUSED, retry_in // 1000)
+                case api.Fail(message):
+                    self._end(message, FAILED, 0)
+                case api.SetTimer(delay, _):
+                    due = self.now + delay
+                    asyncio.get_running_loop().call_at(due / 1e6, self._ring, due)
+                case api.CloseIdle(endpoint):
+                    self.hosts.close_idle(endpoint)
+                case api.WatchList():
+                    self.discovery.watch()
+                case api.Log(text):
+                    log.info("%s", text)
+                case api.Cancel() | api.Probe():
+                    log.error("the settings of a real relay allow no %s", action)
+        for answer in self.unanswered.values():
+            answer(TAKEN, 0)  # before the first byte of its first attempt
+        self.unanswered.clear()
+        for host, sends in calls.items():
+            size = self.bundles[host]
+            for first in range(0, len(sends), size):
+                self._call(host, sends[first : first + size], batch=size > 1)
+
+    def _call(self, host: str, sends: list[api.Send], batch: bool) -> None:
+        """One call waits as long as its most patient message, but past no message's deadline."""
+        messages = [self.journal.held[send.message] for send in sends]
+        for held in messages:
+            held.attempts += 1
+            self.sent_at[held.id] = self.now
+        left = min(held.deadline for held in messages) - wall_clock()
+        timeout = max(0, min(left, max(send.timeout for send in sends)))
+        self.hosts.send(host, messages, timeout / 1e6, batch)
+
+    def _end(self, message: str, status: int, again_ms: int) -> None:
+        held = self.journal.held[message]
+        if answer := self.unanswered.pop(message, None):
+            self._over(held)
+            answer(status, again_ms)
+            self._post(api.Noticed(message))
+            return
+        notice: dict[str, Any] = {"status": "undeliverable" if status == FAILED else "deferred"}
+        if again_ms:
+            notice["again_ms"] = again_ms
+        self.open -= 1
+        self.journal.end(held, notice)
+        self.notices.add(message, notice)
--- /dev/null
+++ b/loftrelay/http.py
@@ -0,0 +1,146 @@
+"""One HTTP/1.1 connection to a host or to discovery. It carries one request at a time and resends nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import select
+from dataclasses import dataclass
+
+import h11
+
+from loftrelay.config import Address
+
+MOST_BODY = 1 << 20  # a whole list of hosts fits; an answer without end does not
+DELIVERED = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
+
+
+class ConnectionBroken(Exception):
+    """No whole answer came. Whether the request was written: Connection.written."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class Connection(asyncio.Protocol):
+    def __init__(self) -> None:
+        self.wire = h11.Connection(h11.CLIENT)
+        self.transport: asyncio.Transport | None = None
+        self.answer: asyncio.Future[Answer] | None = None
+        self.written = False  # the last byte of the request was handed to the system
+        self.idle_since = 0.0
+        self._head = bytearray()
+        self._response: h11.Response | None = None
+        self._body = bytearray()
+
+    @classmethod
+    async def open(cls, address: Address, timeout: float) -> Connection:
+        """Raises OSError (TimeoutError among them) if it does not come up in time."""
+        async with asyncio.timeout(timeout):
+            _, connection = await asyncio.get_running_loop().create_connection(cls, *address)
+        return connection
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.set_write_buffer_limits(high=0)  # so that pause_writing tells of every byte left
+        self.transport = transport
+
+    def pause_writing(self) -> None:
+        self.written = False
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    @property
+    def says_delivered(self) -> bool:
+        """The answer's first line is there and says 200, whatever came after it."""
+        if self._response is not None:
+            return self._response.status_code == 200
+        return b"\n" in self._head and DELIVERED.match(self._head) is not None
+
+    def usable(self) -> bool:
+        """Whether the kept connection still stands: the end may have come without being read yet."""
+        if self.transport is None or self.transport.is_closing() or self.wire.our_state is not h11.IDLE:
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    async def request(self, method: str, target: str, headers: dict[str, str], body: bytes = b"") -> Answer:
+        """Raises ConnectionBroken. If this is cancelled, the connection must be closed."""
+        assert self.transport is not None
+        if self.transport.is_closing():
+            raise ConnectionBroken
+        self.answer = asyncio.get_running_loop().create_future()
+        self._head, self._body, self._response = bytearray(), bytearray(), None
+        head = h11.Request(method=method, target=target, headers=list(headers.items()))
+        data = b"".join(self.wire.send(event) or b"" for event in (head, h11.Data(body), h11.EndOfMessage()))
+        self.written = True  # unless pause_writing says otherwise at once
+        self.transport.write(data)
+        return await self.answer
+
+    def data_received(self, data: bytes) -> None:
+        self._feed(data)
+
+    def eof_received(self) -> bool:
+        self._feed(b"")
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.close()
+        self._break()
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _break(self) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(ConnectionBroken())
+
+    def _feed(self, data: bytes) -> None:
+        if self.answer is None or self.answer.done():
+            self.close()  # the end, or an answer to nothing: of no further use
+            return
+        if self._response is None:
+            self._head += data
+        try:
+            self.wire.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self.close()
+            self._break()
+
+    def _read_events(self) -> None:
+        assert self.answer is not None
+        while True:
+            event = self.wire.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.InformationalResponse):
+                self._head = bytearray(self.wire.trailing_data[0])
+            elif isinstance(event, h11.Response):
+                self._response = event
+            elif isinstance(event, h11.Data):
+                self._body += event.data
+                if len(self._body) > MOST_BODY:
+                    raise h11.RemoteProtocolError("the answer is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish()
+                return
+            else:
+                raise h11.RemoteProtocolError("the connection ended")
+
+    def _finish(self) -> None:
+        assert self.answer is not None and self._response is not None
+        if self.wire.our_state is h11.DONE and self.wire.their_state is h11.DONE and self.written:
+            self.wire.start_next_cycle()
+            self.idle_since = asyncio.get_running_loop().time()
+        if self.wire.our_state is not h11.IDLE or self.wire.trailing_data[0]:
+            self.close()
+        headers = dict(self._response.headers)
+        self.answer.set_result(Answer(self._response.status_code, headers, bytes(self._body)))
--- /dev/null
+++ b/loftrelay/journal.py
@@ -0,0 +1,235 @@
+"""What outlasts the process: append-only records in segments, in the folder RELAY_STATE.
+
+A record is its length and CRC-32 (8 bytes), a line of JSON and, when it tells a message, the body. A message
+is told whole when it is taken on and again when its segment is dropped, so the oldest segment can always go.
+Nothing is synced: what is written outlasts the process, which is all that is asked.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+import os
+import struct
+import time
+import zlib
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from mulleinlead.brain import DOUBTFUL
+from mulleinlead.interface import Result
+
+log = logging.getLogger(__name__)
+
+HEAD = struct.Struct(">II")
+BLOCK = 512  # a file counts in whole blocks
+STATE_ROOM = 512  # what the state of one message may add to its record
+
+
+class JournalFull(Exception):
+    """The record was not written, for want of room."""
+
+
+def wall_clock() -> int:
+    return time.time_ns() // 1000
+
+
+@dataclass(slots=True)
+class Held:
+    """One message that is not over. Times are wall-clock microseconds."""
+
+    id: str
+    number: int  # its place in the order in which messages were taken on
+    class_name: str
+    tenant: str | None
+    destination: int
+    key: str | None
+    taken_at: int
+    deadline: int
+    body: bytes = b""
+    attempts: int = 0
+    tried_at: int | None = None  # an attempt whose outcome is not known, and where
+    tried_on: str | None = None
+    ran_at: int | None = None  # the first attempt that may have run, and where
+    ran_on: str | None = None
+    notice: dict[str, Any] | None = None  # its end, until the platform has heard it
+
+
+@dataclass(slots=True)
+class Segment:
+    path: Path
+    size: int = 0
+
+    @property
+    def blocks(self) -> int:
+        return -(-self.size // BLOCK) * BLOCK
+
+
+class Journal:
+    """The messages that are not over, in memory and on disk alike."""
+
+    def __init__(self, folder: Path, disk_bytes: int) -> None:
+        self.folder = folder
+        self.disk_bytes = disk_bytes
+        self.held: dict[str, Held] = {}
+        self.doubts: dict[str, int] = {}  # key -> when an attempt was last given up that may still run
+        self.segments: dict[int, Segment] = {}
+        self.homes: dict[str, tuple[int, int]] = {}  # message -> the segment that tells it, and its size
+        self.live = 0  # bytes of the records that tell the held messages
+        self.file = -1
+        self.number = 0
+        self._load()
+        self._next_segment()
+        while len(self.segments) > 1:
+            self._drop_oldest()
+
+    def close(self) -> None:
+        os.close(self.file)
+
+    # What happens to a message
+
+    def take(self, held: Held) -> None:
+        """Takes a message on, or raises JournalFull."""
+        size = len(held.body) + STATE_ROOM
+        # Half of the room is for messages; the other half for what happens to them, and for copies.
+        if self.live + size > self.disk_bytes // 2:
+            raise JournalFull
+        self.number += 1
+        held.number = self.number
+        self._tell(held)
+
+    def tried(self, held: Held, host: str) -> None:
+        """Before the first byte of an attempt. Raises JournalFull: then it must not be made."""
+        self._write({"t": "try", "id": held.id, "n": held.attempts, "at": wall_clock(), "on": host})
+
+    def outcome(self, held: Held, result: Result) -> None:
+        """An attempt ended otherwise than by a delivery."""
+        self._note({"t": "out", "id": held.id, "n": held.attempts, "at": wall_clock(), "is": result.name})
+
+    def end(self, held: Held, notice: dict[str, Any]) -> None:
+        """The end is decided; the message is over once the platform has heard of it."""
+        self._note({"t": "end", "id": held.id, "notice": notice})
+
+    def over(self, held: Held) -> None:
+        self._note({"t": "over", "id": held.id})
+
+    def _note(self, record: dict[str, Any]) -> None:
+        """Records that can't be refused: on a full disk the memory alone holds them."""
+        try:
+            self._write(record)
+        except JournalFull:
+            log.warning("no room for a record of kind %s", record["t"])
+            self._apply(record, b"", 0)
+
+    def _apply(self, record: dict[str, Any], body: bytes, size: int) -> None:
+        """The one place where a record takes effect, both when it is written and when it is read again."""
+        kind = record.pop("t")
+        if kind == "take":
+            held = Held(**record, body=body)
+            self._forget_home(held.id)
+            self.held[held.id] = held
+            self.homes[held.id] = max(self.segments), size
+            self.live += size
+            self.number = max(self.number, held.number)
+            return
+        if (known := self.held.get(record["id"])) is None:
+            return  # told of a message whose end was in the same dropped segment
+        if kind == "try":
+            known.attempts, known.tried_at, known.tried_on = record["n"], record["at"], record["on"]
+        elif kind == "out":
+            result = Result[record["is"]]
+            known.attempts = record["n"]
+            if result in DOUBTFUL and known.ran_at is None:
+                known.ran_at, known.ran_on = known.tried_at, known.tried_on
+            if result in DOUBTFUL and result is not Result.ERROR and known.key is not None:
+                self.doubts[known.key] = record["at"]
+            known.tried_at = known.tried_on = None
+        elif kind == "end":
+            known.notice, known.body = record["notice"], b""
+        elif kind == "over":
+            del self.held[known.id]
+            self._forget_home(known.id)
+
+    def _forget_home(self, message: str) -> None:
+        self.live -= self.homes.pop(message, (0, 0))[1]
+
+    # On disk
+
+    def _tell(self, held: Held) -> None:
+        record = {k: v for k, v in asdict(held).items() if k != "body"}
+        self._write({"t": "take", **record}, held.body)
+
+    def _write(self, record: dict[str, Any], body: bytes = b"") -> None:
+        payload = json.dumps(record, separators=(",", ":")).encode() + b"\n" + body
+        data = HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+        segment = self.segments[max(self.segments)]
+        if self.size() + len(data) + BLOCK > self.disk_bytes:
+            raise JournalFull
+        try:
+            written = os.write(self.file, data)
+        except OSError as error:
+            log.warning("the journal can't be written: %s", error)
+            written = 0
+        if written < len(data):
+            with contextlib.suppress(OSError):
+                os.ftruncate(self.file, segment.size)
+            raise JournalFull
+        segment.size += len(data)
+        self._apply(record, body, len(data))
+        if segment.size > self.disk_bytes // 16:
+            self._roll()
+
+    def size(self) -> int:
+        return sum(segment.blocks for segment in self.segments.values())
+
+    def _roll(self) -> None:
+        try:
+            self._next_segment()
+            if self.size() > self.disk_bytes // 2:
+                self._drop_oldest()
+        except (OSError, JournalFull) as error:
+            log.warning("the journal goes on in its old segments: %r", error)
+
+    def _next_segment(self) -> None:
+        number = max(self.segments, default=0) + 1
+        path = self.folder / f"{number:010d}.log"
+        file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        if self.file >= 0:
+            os.close(self.file)
+        self.file = file
+        self.segments[number] = Segment(path)
+
+    def _drop_oldest(self) -> None:
+        oldest = min(self.segments)
+        for message in [m for m, (home, _) in self.homes.items() if home == oldest]:
+            self._tell(self.held[message])
+        self.segments.pop(oldest).path.unlink()
+
+    def _load(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for path in sorted(self.folder.glob("*.log")):
+            segment = self.segments[int(path.stem)] = Segment(path)
+            data = path.read_bytes()
+            for record, body, end in _records(data):
+                self._apply(record, body, end - segment.size)
+                segment.size = end
+            if segment.size < len(data):
+                log.warning("%s: cut at byte %d of %d", path.name, segment.size, len(data))
+                os.truncate(path, segment.size)
+
+
+def _records(data: bytes) -> Iterator[tuple[dict[str, Any], bytes, int]]:
+    """Whole records, each with its body and where it ends, up to the first that is torn."""
+    at = 0
+    while at + HEAD.size <= len(data):
+        length, checksum = HEAD.unpack_from(data, at)
+        at += HEAD.size
+        payload = data[at : at + length]
+        if len(payload) < length or zlib.crc32(payload) != checksum:
+            return
+        at += length
+        line, _, body = payload.partition(b"\n")
+        yield json.loads(line), body, at
--- a/mulleinlead/adapter.py
+++ b/mulleinlead/adapter.py
@@ -97,6 +97,7 @@
         tip_after=safety.get("tip_after"),
         tick=config.get("tick"),
         idle_limit=limits.get("conn_idle"),
+        connect_timeout=limits.get("connect_timeout"),
     )
 
 
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -201,6 +201,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[str, Message] = {}
         self.keys: dict[str, Key] = {}
+        self.unnoticed: dict[str, Message] = {}  # ended, but still first in line for their keys
         self.kinds: dict[str | None, Kin] = {}
         self.shares: dict[str, tuple[float, int]] = {}  # tenant -> tokens left, when counted
         self.arrivals = Rate()
@@ -248,6 +249,15 @@
             case api.Withdrawn(name):
                 if message := self.messages.get(name):
                     self._finish(message, None)
+            case api.Recovered():
+                self._recover(event)
+            case api.KeyRest(name, remaining):
+                key = self.keys.setdefault(name, Key(name))
+                key.rest_until = max(key.rest_until, self.now + remaining)
+                self._alarm(key.rest_until, key)
+            case api.Noticed(name):
+                if message := self.unnoticed.pop(name, None):
+                    self._leave_line(message)
 
     # The list
 
@@ -286,7 +296,7 @@
 
     # A message arrives
 
-    def _accept(self, event: api.Submit) -> None:
+    def _accept(self, event: api.Submit) -> Message:
         about = self.told.classes.get(event.class_name) or api.MessageClass(
             event.class_name, Effect.UNKNOWN, None, None, None, None, None, None, False
         )
@@ -302,6 +312,20 @@
             message.key = self.keys.setdefault(event.order_key, Key(event.order_key))
             message.key.queue.append(message)
         self._hold(message)
+        return message
+
+    def _recover(self, event: api.Recovered) -> None:
+        """Takes up a message from before a restart, with all that binds what may still be done with it."""
+        message = self._accept(event.submit)
+        message.arrived, message.depth, message.not_before = self.now - event.age, event.attempts, self.now
+        if event.ran_ago is not None:
+            message.ran_at, message.ran_on = self.now - event.ran_ago, self.endpoints.get(event.ran_on or "")
+        message.destination.waiting.pop(message.name)
+        if event.ended:
+            message.over = True
+            self._end(message, noticed=False)
+        else:
+            self._hold_or_end(message)
 
     def _hold(self, message: Message) -> None:
         message.destination.waiting[message.name] = message
@@ -330,10 +354,21 @@
             message.destination.waiting.pop(message.name, None)
             if action is not None:
                 self.actions.append(action)
-        known = self.messages.pop(message.name, None) if message.call is None else None
-        if known is not None and message.key is not None:
-            message.key.queue.remove(message)
-            self._alarm(message.key.rest_until, message.key)
+        if message.call is None:
+            self._end(message, noticed=action is None or not self.told.ends_by_notice)
+
+    def _end(self, message: Message, noticed: bool) -> None:
+        if self.messages.pop(message.name, None) is None or message.key is None:
+            return
+        if noticed:
+            self._leave_line(message)
+        else:
+            self.unnoticed[message.name] = message
+
+    def _leave_line(self, message: Message) -> None:
+        assert message.key is not None
+        message.key.queue.remove(message)
+        self._alarm(message.key.rest_until, message.key)
 
     def _last_send(self, message: Message) -> int:
         """The last moment at which a call of usual length can still be answered in time."""
@@ -711,6 +746,9 @@
         if event.result is Result.NO_CONNECTION and any(siblings):
             wait = 0  # trouble: endpoints gone before the list says so; a sibling takes it at once
         message.not_before = self.now + wait
+        self._hold_or_end(message)
+
+    def _hold_or_end(self, message: Message) -> None:
         unsafe = message.about.effect not in (Effect.SAFE, Effect.KEYED)
         ends = self._window_end(message)
         if message.not_before >= ends:
--- a/mulleinlead/interface.py
+++ b/mulleinlead/interface.py
@@ -105,6 +105,8 @@
     tip_after: int | None
     tick: int | None
     idle_limit: int | None  # connections without use are closed after so long
+    connect_timeout: int | None = None  # a connection that is not up by then counts as NO_CONNECTION
+    ends_by_notice: bool = False  # a refused or failed message is over only when Noticed says so
 
 
 @dataclass(slots=True, frozen=True)
@@ -138,6 +140,33 @@
     order_key: str | None
 
 
+@dataclass(slots=True, frozen=True)
+class Recovered:
+    """A message that this relay had taken on before it restarted. They come in their first order."""
+
+    submit: Submit
+    age: int
+    attempts: int
+    ran_ago: int | None  # how long ago the first attempt that may have run was sent, and where
+    ran_on: str | None
+    ended: bool  # its end is decided; only Noticed is missing
+
+
+@dataclass(slots=True, frozen=True)
+class KeyRest:
+    """An attempt from before a restart may still be running: its key rests."""
+
+    order_key: str
+    remaining: int
+
+
+@dataclass(slots=True, frozen=True)
+class Noticed:
+    """The end of a refused or failed message has been heard; only now is the message over."""
+
+    message: str
+
+
 @dataclass(slots=True, frozen=True)
 class Outcome:
     message: str
@@ -180,7 +209,9 @@
     elapsed: int
 
 
-Event = Listing | Submit | Outcome | Started | Withdrawn | Timer | ProbeResult
+Event = (
+    Listing | Submit | Recovered | KeyRest | Noticed | Outcome | Started | Withdrawn | Timer | ProbeResult
+)
 
 # Actions
 
