Unsafe messages pass an endpoint that failed last

Cause: with little traffic the module went back to a dead endpoint each time its pause was over (Brain._may_send saw the gate, not the endpoint; _cost ranks by avoid_until alone). The new test fails without the change.

--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -430,6 +430,9 @@
         if message.ran_at is None:
             # An unsafe message whose try fails is lost: it lets others find out whether a sick place is back.
             calm = endpoint.gate.errors < WARY or self.now > endpoint.gate.failed_at + LONGEST_PAUSE
+            # Trouble: it went back to a dead endpoint each time the pause was over, past a sound sibling.
+            siblings = (e for e in endpoint.destination.endpoints if e.state is State.LISTED)
+            calm = calm and (endpoint.failures == 0 or all(e.failures for e in siblings))
             return calm or message.about.effect in (Effect.SAFE, Effect.KEYED)
         if message.about.effect is Effect.SAFE:
             return True
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -100,3 +100,17 @@
     d.feed(*[d.outcome_event(name, api.Result.OK) for name in out])
     assert d.brain.calls_out == 1  # the next call, with the other four
     assert len(d.sent) == 9
+
+
+def test_an_unsafe_message_passes_an_endpoint_that_failed_last() -> None:
+    """It went back to a dead endpoint each time the pause was over, though a sibling was sound."""
+    for seed in range(10):
+        d = Driver(entry("a"), entry("b"), seed=seed)
+        d.warm()
+        d.submit("m", "unsafe")
+        dead = d.sent[-1][1].endpoint
+        d.outcome("m", api.Result.NO_CONNECTION)
+        d.outcome("m", api.Result.OK)
+        d.run(20 * S)
+        d.submit("n", "unsafe")
+        assert [s.endpoint for _, s in d.sent if s.message in ("m", "n")].count(dead) == 1
