--- a/loftrelay/hosts.py
+++ b/loftrelay/hosts.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from loftrelay.config import Address
-from loftrelay.http import Answer, Connection, ConnectionBroken
+from loftrelay.http import Answer, AnswerSpoilt, Connection, ConnectionBroken
 from loftrelay.journal import Held, JournalFull
 from mulleinlead.interface import Result
 
@@ -68,7 +68,7 @@
         states = {name: Ending(STATES[s], s in ("delivered", "over"), told_wait(answer)) for name, s in rows}
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         log.warning("a batch answer can't be read: %r", error)
-        return [Ending(Result.BROKEN)] * len(ids)
+        return [Ending(Result.SPOILT)] * len(ids)
     return [states[name] for name in ids]
 
 
@@ -130,6 +130,8 @@
             result = Result.NOT_SENT
         except TimeoutError:
             result = Result.TIMEOUT if asked else Result.NO_CONNECTION
+        except AnswerSpoilt:
+            result = Result.SPOILT
         except ConnectionBroken:
             result = Result.BROKEN
         except OSError:
--- a/loftrelay/http.py
+++ b/loftrelay/http.py
@@ -20,6 +20,10 @@
     """No whole answer came. Whether the request was written: Connection.written."""
 
 
+class AnswerSpoilt(ConnectionBroken):
+    """Something came that is no sound answer, while the connection stood."""
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     status: int
@@ -100,7 +104,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.close()
-        self._break()
+        self._break(ConnectionBroken())
 
     def close(self) -> None:
         self._stop_clock()
@@ -114,11 +118,11 @@
 
     def _spoilt(self) -> None:
         self.close()
-        self._break()
+        self._break(AnswerSpoilt())
 
-    def _break(self) -> None:
+    def _break(self, why: ConnectionBroken) -> None:
         if self.answer is not None and not self.answer.done():
-            self.answer.set_exception(ConnectionBroken())
+            self.answer.set_exception(why)
 
     def _feed(self, data: bytes) -> None:
         if self.answer is None or self.answer.done():
@@ -134,7 +138,10 @@
             self.wire.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError:
-            self._spoilt()
+            if data:
+                self._spoilt()
+            else:
+                self.connection_lost(None)  # it ended in the midst of an answer
 
     def _read_events(self) -> None:
         assert self.answer is not None
--- a/loftrelay/journal.py
+++ b/loftrelay/journal.py
@@ -24,6 +24,7 @@
 
 log = logging.getLogger(__name__)
 
+encode = json.JSONEncoder(separators=(",", ":")).encode
 HEAD = struct.Struct(">II")
 BLOCK = 512  # a file counts in whole blocks
 STATE_ROOM = 512  # what the state of one message may add to its record
@@ -59,15 +60,14 @@
     notice: dict[str, Any] | None = None  # its end, until the platform has heard it
 
 
+TOLD = [field.name for field in fields(Held) if field.name != "body"]
+
+
 @dataclass(slots=True)
 class Segment:
     path: Path
     size: int = 0
 
-    @property
-    def blocks(self) -> int:
-        return -(-self.size // BLOCK) * BLOCK
-
 
 class Journal:
     """The messages that are not over, in memory and on disk alike."""
@@ -79,6 +79,7 @@
         self.doubts: dict[str, int] = {}  # key -> when an attempt was last given up that may still run
         self.segments: dict[int, Segment] = {}
         self.homes: dict[str, tuple[int, int]] = {}  # message -> the segment that tells it, and its size
+        self.bytes = 0  # in all segments
         self.live = 0  # bytes of the records that tell the held messages
         self.file = -1
         self.number = 0
@@ -165,11 +166,10 @@
     # On disk
 
     def _tell(self, held: Held) -> None:
-        record = {f.name: getattr(held, f.name) for f in fields(held) if f.name != "body"}
-        self._write({"t": "take", **record}, held.body)
+        self._write({"t": "take", **{name: getattr(held, name) for name in TOLD}}, held.body)
 
     def _write(self, record: dict[str, Any], body: bytes = b"") -> None:
-        payload = json.dumps(record, separators=(",", ":")).encode() + b"\n" + body
+        payload = encode(record).encode() + b"\n" + body
         data = HEAD.pack(len(payload), zlib.crc32(payload)) + payload
         segment = self.segments[max(self.segments)]
         if self.size() + len(data) + BLOCK > self.disk_bytes:
@@ -184,13 +184,15 @@
                 os.ftruncate(self.file, segment.size)
             raise JournalFull
         segment.size += len(data)
+        self.bytes += len(data)
         self._apply(record, body, len(data))
         if segment.size > self.disk_bytes // 16:
             with contextlib.suppress(OSError):  # no room for another file: the segment goes on
                 self._next_segment()
 
     def size(self) -> int:
-        return sum(segment.blocks for segment in self.segments.values())
+        """At most: the last block of each file counts as full."""
+        return self.bytes + BLOCK * len(self.segments)
 
     def _next_segment(self) -> None:
         number = max(self.segments, default=0) + 1
@@ -216,7 +218,7 @@
             except (OSError, JournalFull) as error:
                 log.warning("a segment of the journal can't be dropped: %r", error)
                 return
-            del self.segments[oldest]
+            self.bytes -= self.segments.pop(oldest).size
 
     def _load(self) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -226,6 +228,7 @@
             for record, body, end in _records(data):
                 self._apply(record, body, end - segment.size)
                 segment.size = end
+            self.bytes += segment.size
             if segment.size < len(data):
                 log.warning("%s: cut at byte %d of %d", path.name, segment.size, len(data))
                 os.truncate(path, segment.size)
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -34,6 +34,7 @@
 PACE_STEP, BACKLOG, RARE_GROWTH = 0.15, 10, 1.12
 EXTRA_WEIGHT = 0.25  # of each further message in a bundle, in the budget of a cold destination
 OUTAGE_STREAK, OUTAGE_ERRORS = 2 * SECOND, 0.6  # no success for so long, or most calls failing: an outage
+MANY_SPOILT = 3  # answers in a row that can't be read: only then the destination itself is held to fail
 MANY_BREAKS = 3  # resets on idle connections that count as the network's doing
 SCARCE_SPAN = 300 * SECOND  # how long a kind that once took no connection is held to take only few
 LIVE_WEIGHT, FEE_WEIGHT, KNOWN_RATE = 3.0, 300.0, 1.0  # choosing: connection still open, fee, messages/s
@@ -44,7 +45,7 @@
 NO_SLOTS, NO_ATTEMPTS, NO_AIM = 1, 8, SECOND
 NO_COLD, NO_COLD_FROM, NO_MULTIPLE, NO_TIP = 10 * SECOND, 0.2, 2.0, 2 * SECOND
 NO_ASK, NO_HELD, NO_IDLE = 10 * SECOND, 1 << 30, 10 * SECOND
-DOUBTFUL = (Result.ERROR, Result.TIMEOUT, Result.BROKEN, Result.CANCELLED)
+DOUBTFUL = (Result.ERROR, Result.TIMEOUT, Result.BROKEN, Result.SPOILT, Result.CANCELLED)
 NEVER = 1 << 62
 
 
@@ -107,6 +108,7 @@
     refused: bool = False  # the last failure was a refusal
     outage: bool = False
     cold_since: int | None = None
+    spoilt: int = 0  # answers in a row that could not be read
     times: Times = field(default_factory=Times)
     pace: float = math.inf  # calls a second
     unlucky: float = 0.5  # share of calls after a failure that fail, too
@@ -666,6 +668,9 @@
                 self.idle_limit = min(
                     self.idle_limit, call.idle // 2
                 )  # the network's habit, not one endpoint's
+        gate.spoilt = gate.spoilt + 1 if event.result is Result.SPOILT else 0
+        if 0 < gate.spoilt < MANY_SPOILT:
+            return  # trouble: the way spoils answers of sound hosts, which were paused for it
         if gate.failures and call.sent_at > gate.failed_at:
             luck = endpoint.kin.luck
             luck[gate.refused] += ((event.result is Result.OK) - luck[gate.refused]) / 8
--- a/mulleinlead/interface.py
+++ b/mulleinlead/interface.py
@@ -20,6 +20,7 @@
     TIMEOUT = auto()  # no answer in time; the effect may have taken place, or still do so
     NO_CONNECTION = auto()  # never connected, so never ran
     BROKEN = auto()  # the connection broke while the attempt was out; may have run
+    SPOILT = auto()  # an answer came and can't be read; it has run, and the host is up
     CANCELLED = auto()  # called off by this instance; may have run
     NOT_SENT = auto()  # never left this instance
 
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -114,3 +114,18 @@
         d.run(20 * S)
         d.submit("n", "unsafe")
         assert [s.endpoint for _, s in d.sent if s.message in ("m", "n")].count(dead) == 1
+
+
+def test_a_spoilt_answer_is_no_failure_of_the_destination() -> None:
+    """It may have run, so an unsafe message fails; but the host is up, and the next message goes at once."""
+    d = Driver(entry("a"))
+    d.submit("first")
+    assert ends(d.submit("m", "unsafe")) == []
+    d.outcome("first", api.Result.OK)
+    assert ends(d.outcome("m", api.Result.SPOILT)) == [(api.Fail, "m")]
+    assert sends(d.submit("next")) == ["next"]
+    d.outcome("next", api.Result.SPOILT)
+    for name in ("third", "fourth"):  # nothing but spoilt answers: from here on they narrow the window
+        assert sends(d.submit(name)) == [name]
+        d.outcome(name, api.Result.SPOILT)
+    assert sends(d.submit("last")) == []
