--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -16,8 +16,9 @@
 
 log = logging.getLogger("loftrelay")
 
-# After SIGTERM, in seconds: clients are taken until, calls are begun until, the process ends at the latest.
-ACCEPT, BEGIN, END = 0.6, 2.0, 3.3
+# After SIGTERM, in seconds: calls are begun until, messages taken on until, the process ends at the latest.
+# Clients have nowhere else to go before the restart, so they are served for as long as there is time.
+BEGIN, TAKE, END = 2.8, 3.45, 3.6
 LINES, SPAN = 200, 10.0  # log lines in a span; what comes beyond is counted, not written
 
 
@@ -58,11 +59,11 @@
     await stop.wait()
     began = loop.time()
     server.stopping = True
-    await asyncio.sleep(ACCEPT)
+    await asyncio.sleep(BEGIN)
+    engine.hold()
+    log.info("%s begins no more calls", config.name)
+    await asyncio.sleep(began + TAKE - loop.time())
     server.close()
-    while loop.time() < began + BEGIN and journal.held:
-        await asyncio.sleep(0.02)
-    engine.stopped = True
     while loop.time() < began + END and (engine.hosts.calls or engine.notices.waiting):
         await asyncio.sleep(0.02)
     log.info("%s ends with %d messages in its journal", config.name, len(journal.held))
--- a/loftrelay/engine.py
+++ b/loftrelay/engine.py
@@ -61,11 +61,8 @@
 
     def submit(self, held: Held, answer: Callable[[int, int], None]) -> None:
         """Takes a message in. The answer, a status and when to come back (ms), is given in this turn."""
-        if (
-            held.destination not in self.destinations
-            or self.stopped
-            or self.open >= (self.settings.max_held or self.open + 1)
-        ):
+        full = self.settings.max_held is not None and self.open >= self.settings.max_held
+        if full or held.destination not in self.destinations:
             answer(REFUSED, REFUSED_HERE_MS)
             return
         try:
@@ -73,9 +70,22 @@
         except JournalFull:
             answer(REFUSED, REFUSED_HERE_MS)
             return
+        if self.stopped:
+            answer(TAKEN, 0)
+            return
         self.unanswered[held.id] = answer
         self._post(self._submission(held))
 
+    def hold(self) -> None:
+        """Before the end of the process: nothing new is begun, what comes is kept for the next start."""
+        self.stopped = True
+        self._answer_taken()
+
+    def _answer_taken(self) -> None:
+        for answer in self.unanswered.values():
+            answer(TAKEN, 0)
+        self.unanswered.clear()
+
     def withdraw(self, message: str) -> None:
         """The client went before its answer."""
         if self.unanswered.pop(message, None) is not None:
@@ -195,9 +205,7 @@
                     log.info("%s", text)
                 case api.Cancel() | api.Probe():
                     log.error("the settings of a real relay allow no %s", action)
-        for answer in self.unanswered.values():
-            answer(TAKEN, 0)  # before the first byte of its first attempt
-        self.unanswered.clear()
+        self._answer_taken()  # before the first byte of a first attempt
         for host, sends in calls.items():
             size = self.bundles.get(host, 1)
             for first in range(0, len(sends), size):
--- a/loftrelay/server.py
+++ b/loftrelay/server.py
@@ -143,7 +143,8 @@
         if self.refused:
             self.abort()
         elif self.idle and self not in self.server.newcomers:
-            self.close()
+            if not self.server.stopping:
+                self.close()
         else:
             self._refuse(408, "the request did not come in time")
 
@@ -229,7 +230,7 @@
         headers = []
         if again_ms:
             headers.append(("Retry-After", f"{again_ms / 1000:g}"))
-        if self.server.stopping:
+        if self.server.closed:
             headers.append(("Connection", "close"))
         self._respond(status, headers, "")
         if self.wire.our_state is h11.DONE and self.wire.their_state is h11.DONE:
@@ -262,7 +263,8 @@
         self.most_clients = most_clients
         self.newcomers: dict[Client, None] = {}  # no whole request has come yet; in the order of arrival
         self.known: dict[Client, None] = {}  # in the order of their last answers
-        self.stopping = False
+        self.stopping = False  # idle connections are kept: no new ones will come
+        self.closed = False
         self.listener: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> Address:
@@ -307,7 +309,7 @@
 
     def close(self) -> None:
         """No further connections, and none kept on which no request is open."""
-        self.stopping = True
+        self.closed = True
         if self.listener is not None:
             self.listener.close()
         for client in (*self.newcomers, *self.known):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -611,7 +611,7 @@
 
 
 def test_sigterm_ends_in_order_under_load(tmp_path: Path) -> None:
-    """Clients go on coming for a while: they are served and steered away; calls out may finish."""
+    """Clients go on using their connections: they are served to the last; calls out may finish."""
 
     async def scenario(w: World) -> None:
         released = asyncio.Event()
@@ -621,6 +621,7 @@
             return reply(200)
 
         host = await w.host(script)
+        other = await w.host(deliver, dest=3)
         w.name(7)
         await w.start()
         assert await w.hand_in("out", "order") == 202
@@ -629,17 +630,20 @@
         await w.until(lambda: host.ids == ["out"])
         assert w.process is not None
         w.process.send_signal(signal.SIGTERM)
-        status, headers = 202, dict[str, str]()
-        while headers.get("connection") != "close":
-            status, headers, _ = await w.ask(message(f"late{len(w.log)}-{os.urandom(4).hex()}", dest=7))
-        assert status == 202
+        reader, writer = await asyncio.open_connection(*w.address)
+        for name in ("new", "held"):  # one that is still begun, one that is only kept for the next start
+            writer.write(message(name, dest=3 if name == "new" else 7))
+            start, headers, _ = await read_message(reader)
+            assert start.startswith("HTTP/1.1 202") and "connection" not in headers
+            await w.until(lambda: other.ids == ["new"] and any("no more calls" in line for line in w.log))
         released.set()
         async with asyncio.timeout(HANG):
+            assert await reader.read() == b""
             assert await w.process.wait() == 0
         later = await w.host(deliver, dest=7)
         await w.start()
-        await w.until(lambda: set(later.ids) >= {f"m{i}" for i in range(5)})
-        assert host.ids == ["out"] and not w.notices
+        await w.until(lambda: sorted(later.ids) == ["held", *(f"m{i}" for i in range(5))])
+        assert (host.ids, other.ids) == (["out"], ["new"]) and not w.notices
 
     run(scenario, tmp_path)
 
