--- a/loftrelay/discovery.py
+++ b/loftrelay/discovery.py
@@ -18,7 +18,8 @@
 MOST_WAIT = 20.0  # how long discovery may hold a watch; less, as told, so that a lost one is noticed in time
 PATIENCE = 2.0  # for an answer, beyond that wait
 LEAST_GAP = 0.05  # between calls: a watch that answers at once must not become a busy loop
-NOTICE_PAUSES = (0.05, 1.0)  # before a failed notice is sent again: at first, at most
+NOTICE_PATIENCE = 0.2  # a notice is answered at once, and due 0.3 s after its message's deadline
+NOTICE_PAUSES = (0.02, 0.2)  # before a failed notice is sent again: at first, at most
 MOST_NOTICES = 500  # in one call
 STATES = {"Ready": State.LISTED, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -180,7 +181,7 @@
     async def _report(self, names: list[str]) -> bool:
         body = "".join(json.dumps(self.waiting[n], separators=(",", ":")) + "\n" for n in names).encode()
         try:
-            status = (await self.caller.ask("POST", "/reports", PATIENCE, body)).status
+            status = (await self.caller.ask("POST", "/reports", NOTICE_PATIENCE, body)).status
         except (OSError, ConnectionBroken) as error:
             log.warning("notices were not answered: %r", error)
             return False
--- a/loftrelay/journal.py
+++ b/loftrelay/journal.py
@@ -191,7 +191,7 @@
                 self._next_segment()
 
     def size(self) -> int:
-        """At most: the last block of each file counts as full."""
+        """At most so much: the last block of each file counts as full."""
         return self.bytes + BLOCK * len(self.segments)
 
     def _next_segment(self) -> None:
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -35,8 +35,9 @@
 EXTRA_WEIGHT = 0.25  # of each further message in a bundle, in the budget of a cold destination
 OUTAGE_STREAK, OUTAGE_ERRORS = 2 * SECOND, 0.6  # no success for so long, or most calls failing: an outage
 MANY_SPOILT = 3  # answers in a row that can't be read: only then the destination itself is held to fail
+LEAST_IDLE = SECOND  # a reset on a connection idle for less is no sign of an idle limit
 MANY_BREAKS = 3  # resets on idle connections that count as the network's doing
-SCARCE_SPAN = 300 * SECOND  # how long a kind that once took no connection is held to take only few
+SCARCE_SPAN = 30 * SECOND  # how long a kind that once took no connection is held to take only few
 LIVE_WEIGHT, FEE_WEIGHT, KNOWN_RATE = 3.0, 300.0, 1.0  # choosing: connection still open, fee, messages/s
 KEEP_GAP = 2 * SECOND  # a connection to such a kind stays open only where calls follow each other so fast
 SPARE_ROOM, DRAIN = 8, 8  # part of its places that a relay keeps free; messages a second out of a backlog
@@ -660,7 +661,7 @@
         gate, endpoint = call.endpoint.gate, call.endpoint
         endpoint.used_at = self.now
         self._close_idle(endpoint, event.result)
-        if event.result is Result.BROKEN and call.idle > 0:
+        if event.result is Result.BROKEN and call.idle > LEAST_IDLE:
             # Resets on connections that had been idle: something on the way drops them without a word.
             endpoint.idle_limit = min(endpoint.idle_limit, call.idle // 2)
             self.idle_breaks.add(self.now)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -129,3 +129,18 @@
         assert sends(d.submit(name)) == [name]
         d.outcome(name, api.Result.SPOILT)
     assert sends(d.submit("last")) == []
+
+
+def test_resets_right_after_an_answer_teach_no_idle_limit() -> None:
+    """Hosts that close right after an answer made the module open a connection for each call, for good."""
+    d = Driver(entry("a"))
+    d.warm(20)
+    for i in range(5):
+        d.submit(f"m{i}", after=50 * MS)
+        d.outcome(f"m{i}", api.Result.BROKEN)
+        d.run(5 * S)
+        d.outcome(f"m{i}", api.Result.OK)
+    d.log.clear()
+    d.submit("next", after=500 * MS)
+    assert sends(d.log) == ["next"]
+    assert not any(isinstance(a, api.CloseIdle) for a in d.log)
