--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -14,10 +14,10 @@
 Address = tuple[str, int]
 
 
-# Of the descriptors, two fifths are for clients (their requests need a third); some for the journal,
-# discovery, the loop, and connections taken before others are closed; the rest for hosts. The buffers of a
-# client may hold 80 KB, so that clients fill 0.4 of the memory at most.
-CLIENTS_A_MB, OTHER_DESCRIPTORS = 5, 40
+# Of the descriptors, some are for the journal, discovery, the loop, and connections taken before others are
+# closed. Hosts get two for each call that may be out, so that some are kept, but half at most; the rest is for
+# clients. The buffers of a client may hold 80 KB, so that clients fill 0.4 of the memory at most.
+OTHER_DESCRIPTORS, LEAST_TO_HOSTS, CLIENTS_A_MB = 40, 16, 5
 
 
 class ConfigError(Exception):
@@ -74,18 +74,20 @@
     path, limits = environ["RELAY_CONFIG"], told.get("limits", {})
     try:
         sockets = int(limits.get("sockets", 1024))
-        clients = min(sockets * 2 // 5, int(limits.get("memory_mb", 64)) * CLIENTS_A_MB)
+        # On sockets the list is always asked for, and a message not delivered ends by a notice.
+        settings = replace(read_settings(told["settings"]), list_on_request=True, ends_by_notice=True)
+        to_hosts = min((sockets - OTHER_DESCRIPTORS) // 2, 2 * (settings.slots or sockets) + LEAST_TO_HOSTS)
+        clients = sockets - OTHER_DESCRIPTORS - to_hosts
         return Config(
             name=environ.get("RELAY_NAME") or str(told["name"]),
             listen=parse_address(environ.get("RELAY_LISTEN") or told["listen"]),
             discovery=parse_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
             state=Path(environ["RELAY_STATE"]),
             seed=int(str(told.get("seed", "0")), 16),
-            most_clients=clients,
-            most_to_hosts=sockets - clients - OTHER_DESCRIPTORS,
+            most_clients=min(clients, int(limits.get("memory_mb", 64)) * CLIENTS_A_MB),
+            most_to_hosts=to_hosts,
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
-            # On sockets the list is always asked for, and a message not delivered ends by a notice.
-            settings=replace(read_settings(told["settings"]), list_on_request=True, ends_by_notice=True),
+            settings=settings,
             known=told.get("known") or {},
         )
     except KeyError as error:
--- a/loftrelay/server.py
+++ b/loftrelay/server.py
@@ -21,6 +21,7 @@
 LINGER = 0.5  # seconds for which it may, and for which one that is closed may still read
 REQUEST_TIME = 2.0  # seconds from a request's first byte to its last; the first one's from the connection on
 IDLE_TIME = 3.0  # seconds for which a connection without a request is kept
+TIME_TO_SPEAK = 0.1  # seconds in which a client that has just come, or been answered, may ask something
 SWEEP = 0.2  # seconds between looks at who is overdue
 AT_A_TIME, QUEUED = 8, 1024  # connections taken in one wake of the loop, and waiting to be
 MOST_KEY = 256
@@ -99,6 +100,7 @@
         self.refused = False  # what still comes is thrown away
         self.spare = MOST_DRAINED
         self.due = math.inf
+        self.since = 0.0  # when it came, or had its last answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -283,18 +285,28 @@
 
     def arrived(self, client: Client) -> None:
         self.newcomers[client] = None
+        client.since = asyncio.get_running_loop().time()
         if len(self.newcomers) + len(self.known) > self.most_clients:
-            # Those that have said nothing go first, then who has been idle longest.
-            for other in (*self.newcomers, *self.known):
-                if other.idle:
-                    self.gone(other)
-                    other.abort()
-                    return
-            client.abort()
+            leaves = self._least_missed(client)
+            self.gone(leaves)
+            leaves.abort()
+
+    def _least_missed(self, client: Client) -> Client:
+        """Who goes so that a new client may stay: one that has had time to speak and said nothing, then the
+        longest idle. One that came just now may be about to ask, as the new one may."""
+        now = asyncio.get_running_loop().time()
+        silent = next((c for c in self.newcomers if c.idle and c is not client), None)
+        idle = next((c for c in self.known if c.idle), None)
+        if silent is not None and (idle is None or now - silent.since > TIME_TO_SPEAK):
+            return silent
+        if idle is not None and (silent is None or now - idle.since > TIME_TO_SPEAK):
+            return idle
+        return silent or idle or client
 
     def served(self, client: Client) -> None:
         self.gone(client)
         self.known[client] = None
+        client.since = asyncio.get_running_loop().time()
 
     def gone(self, client: Client) -> None:
         self.newcomers.pop(client, None)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -161,6 +161,27 @@
     run(scenario, tmp_path)
 
 
+def test_more_clients_than_connections_are_served_in_turn(tmp_path: Path) -> None:
+    """All have asked before and keep their connections: a new one takes the place of the longest idle."""
+
+    async def scenario(w: World) -> None:
+        w.limits["sockets"] = 100
+        host = await w.host(deliver)
+        await w.start()
+        writers = []
+        for i in range(60):
+            reader, writer = await asyncio.open_connection(*w.address)
+            writer.write(message(f"m{i}"))
+            async with asyncio.timeout(HANG):
+                assert (await read_message(reader))[0].startswith("HTTP/1.1 202")
+            writers.append(writer)
+        await w.until(lambda: len(host.ids) == 60)
+        for writer in writers:
+            writer.close()
+
+    run(scenario, tmp_path)
+
+
 def test_an_id_held_already_is_not_taken_twice(tmp_path: Path) -> None:
     async def scenario(w: World) -> None:
         host = await w.host(never)
@@ -724,7 +745,7 @@
         (None, "can't be read"),
         ("{", "can't be read"),
         ("[]", "JSON object"),
-        ('{"name":"n"}', "listen"),
+        ('{"name":"n","settings":{}}', "listen"),
         ('{"name":"n","listen":"here","discovery":"127.0.0.1:1","settings":{}}', "'here'"),
         ('{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":7}', "bad value"),
         ('{"name":"n","listen":"a:0","discovery":"a:1","seed":"z","settings":{}}', "bad value"),
