--- a/loftrelay/server.py
+++ b/loftrelay/server.py
@@ -264,7 +264,10 @@
         self.engine = engine
         self.most_clients = most_clients
         self.newcomers: dict[Client, None] = {}  # no whole request has come yet; in the order of arrival
-        self.known: dict[Client, None] = {}  # in the order of their last answers
+        self.once: dict[
+            Client, None
+        ] = {}  # those that have asked once, and more often; in the order of their
+        self.regulars: dict[Client, None] = {}  # last answers
         self.stopping = False  # idle connections are kept: no new ones will come
         self.closed = False
         self.listener: asyncio.Server | None = None
@@ -286,36 +289,42 @@
     def arrived(self, client: Client) -> None:
         self.newcomers[client] = None
         client.since = asyncio.get_running_loop().time()
-        if len(self.newcomers) + len(self.known) > self.most_clients:
+        if len(self.newcomers) + len(self.once) + len(self.regulars) > self.most_clients:
             leaves = self._least_missed(client)
             self.gone(leaves)
             leaves.abort()
 
     def _least_missed(self, client: Client) -> Client:
         """Who goes so that a new client may stay: one that has had time to speak and said nothing, then the
-        longest idle. One that came just now may be about to ask, as the new one may."""
+        longest idle, those that asked only once before the others. One that came just now may be about to
+        ask, as the new one may."""
         now = asyncio.get_running_loop().time()
         silent = next((c for c in self.newcomers if c.idle and c is not client), None)
-        idle = next((c for c in self.known if c.idle), None)
+        idle = next((c for c in (*self.once, *self.regulars) if c.idle), None)
         if silent is not None and (idle is None or now - silent.since > TIME_TO_SPEAK):
             return silent
         if idle is not None and (silent is None or now - idle.since > TIME_TO_SPEAK):
             return idle
         return silent or idle or client
 
+    def clients(self) -> list[Client]:
+        return [*self.newcomers, *self.once, *self.regulars]
+
     def served(self, client: Client) -> None:
+        kind = self.once if client in self.newcomers else self.regulars
         self.gone(client)
-        self.known[client] = None
+        kind[client] = None
         client.since = asyncio.get_running_loop().time()
 
     def gone(self, client: Client) -> None:
         self.newcomers.pop(client, None)
-        self.known.pop(client, None)
+        self.once.pop(client, None)
+        self.regulars.pop(client, None)
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         loop.call_later(SWEEP, self._sweep)
-        for client in (*self.newcomers, *self.known):
+        for client in self.clients():
             if client.due <= loop.time():
                 client.overdue()
 
@@ -324,6 +333,6 @@
         self.closed = True
         if self.listener is not None:
             self.listener.close()
-        for client in (*self.newcomers, *self.known):
+        for client in self.clients():
             if client.idle:
                 client.close()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -162,20 +162,27 @@
 
 
 def test_more_clients_than_connections_are_served_in_turn(tmp_path: Path) -> None:
-    """All have asked before and keep their connections: a new one takes the place of the longest idle."""
+    """They ask once and keep their connections: a new one takes the place of the longest idle, and none that
+    of a client which asks again and again."""
 
     async def scenario(w: World) -> None:
         w.limits["sockets"] = 100
         host = await w.host(deliver)
         await w.start()
-        writers = []
+        answers, regular = await asyncio.open_connection(*w.address)
+        for name in ("r1", "r2"):
+            regular.write(message(name))
+            assert (await read_message(answers))[0].startswith("HTTP/1.1 202")
+        writers = [regular]
         for i in range(60):
             reader, writer = await asyncio.open_connection(*w.address)
             writer.write(message(f"m{i}"))
             async with asyncio.timeout(HANG):
                 assert (await read_message(reader))[0].startswith("HTTP/1.1 202")
             writers.append(writer)
-        await w.until(lambda: len(host.ids) == 60)
+        regular.write(message("r3"))
+        assert (await read_message(answers))[0].startswith("HTTP/1.1 202")
+        await w.until(lambda: len(host.ids) == 63)
         for writer in writers:
             writer.close()
 
