An idle client whose request has come unread is not closed

A request that comes while the loop is busy for some milliseconds lies unread and is lost with the close. Test: a request written without letting the loop run, then the clock; fails without.

--- a/loftrelay/http.py
+++ b/loftrelay/http.py
@@ -16,6 +16,15 @@
 DELIVERED = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
 
 
+def unread(transport: asyncio.Transport) -> bool:
+    """Whether bytes, or the end, have come that the loop has not read yet."""
+    if transport.is_closing():
+        return False
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class ConnectionBroken(Exception):
     """No whole answer came. Whether the request was written: Connection.written."""
 
@@ -75,9 +84,7 @@
         """Whether the kept connection still stands: the end may have come without being read yet."""
         if self.transport is None or self.transport.is_closing() or self.wire.our_state is not h11.IDLE:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not unread(self.transport)
 
     async def request(
         self, method: str, target: str, headers: dict[str, str], body: bytes = b"", stall: float | None = None
--- a/loftrelay/server.py
+++ b/loftrelay/server.py
@@ -13,6 +13,7 @@
 
 from loftrelay.config import Address
 from loftrelay.engine import Engine
+from loftrelay.http import unread
 from loftrelay.journal import Held, wall_clock
 from mulleinlead.interface import Settings
 
@@ -141,9 +142,16 @@
     def idle(self) -> bool:
         return self.pending is None and not self.reading and not self.refused
 
+    @property
+    def may_go(self) -> bool:
+        """Idle, and no request has come that is not read yet: closing that unread would lose it."""
+        return self.idle and self.transport is not None and not unread(self.transport)
+
     def overdue(self) -> None:
         if self.refused:
             self.abort()
+        elif self.idle and not self.may_go:
+            pass  # it is read next
         elif self.idle and self not in self.server.newcomers:
             if not self.server.stopping:
                 self.close()
@@ -299,8 +307,8 @@
         longest idle, those that asked only once before the others. One that came just now may be about to
         ask, as the new one may."""
         now = asyncio.get_running_loop().time()
-        silent = next((c for c in self.newcomers if c.idle and c is not client), None)
-        idle = next((c for c in (*self.once, *self.regulars) if c.idle), None)
+        silent = next((c for c in self.newcomers if c.may_go and c is not client), None)
+        idle = next((c for c in (*self.once, *self.regulars) if c.may_go), None)
         if silent is not None and (idle is None or now - silent.since > TIME_TO_SPEAK):
             return silent
         if idle is not None and (silent is None or now - idle.since > TIME_TO_SPEAK):
@@ -334,5 +342,5 @@
         if self.listener is not None:
             self.listener.close()
         for client in self.clients():
-            if client.idle:
+            if client.may_go:
                 client.close()
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -8,20 +8,49 @@
 from loftrelay.config import Config
 from loftrelay.engine import Engine
 from loftrelay.journal import Held, Journal, wall_clock
+from loftrelay.server import Server
 from mulleinlead.adapter import read_settings
 from tests.platform import SETTINGS
 
 
+def make_engine(folder: Path) -> Engine:
+    address = ("127.0.0.1", 9)
+    row = {"id": "h", "host_port": "127.0.0.1:9", "cell": 1, "phase": "Ready"}
+    known = {"revision": 1, "complete": True, "members": [row]}
+    settings = read_settings(SETTINGS)
+    config = Config("n", address, address, folder, 1, 100, 100, 1_000_000, settings, known)
+    return Engine(config, Journal(folder, 1_000_000))
+
+
+def test_an_idle_client_whose_request_has_come_unread_is_not_closed(tmp_path: Path) -> None:
+    """A request that is in the socket's buffer when its connection's time is up would be lost."""
+
+    async def main() -> None:
+        engine = make_engine(tmp_path)
+        server = Server(engine, 10)
+        address = await server.listen(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        ask = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        writer.write(ask)
+        assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+        (client,) = server.clients()
+        writer.write(ask)  # is written at once, and the loop has not run since
+        client.overdue()
+        assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+        client.overdue()
+        assert await reader.read() == b""
+        writer.close()
+        server.close()
+        engine.notices.close()
+
+    asyncio.run(main())
+
+
 def test_a_client_gone_before_its_answer_withdraws_its_message(tmp_path: Path) -> None:
     """It hands the message in again under a new id: the old one must neither go out nor stay held."""
 
     async def main() -> None:
-        settings = read_settings(SETTINGS)
-        address = ("127.0.0.1", 9)
-        row = {"id": "h", "host_port": "127.0.0.1:9", "cell": 1, "phase": "Ready"}
-        known = {"revision": 1, "complete": True, "members": [row]}
-        config = Config("n", address, address, tmp_path, 1, 100, 100, 1_000_000, settings, known)
-        engine = Engine(config, Journal(tmp_path, 1_000_000))
+        engine = make_engine(tmp_path)
         answers: dict[str, int] = {}
         now = wall_clock()
         for name in ("gone", "stays"):
