--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -15,9 +15,9 @@
 
 
 # Of the descriptors, some are for the journal, discovery, the loop, and connections taken before others are
-# closed. Hosts get two for each call that may be out, so that some are kept, but half at most; the rest is
+# closed. Hosts get two for each call that may be out and 64 to keep, but half at most; the rest is
 # for clients. The buffers of a client may hold 80 KB, so that clients fill 0.4 of the memory at most.
-OTHER_DESCRIPTORS, LEAST_TO_HOSTS, CLIENTS_A_MB = 40, 16, 5
+OTHER_DESCRIPTORS, LEAST_TO_HOSTS, CLIENTS_A_MB = 40, 64, 5
 
 
 class ConfigError(Exception):
