--- a/loftrelay/engine.py
+++ b/loftrelay/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -159,9 +160,10 @@
         elapsed = self._clock() - self.sent_at.pop(held.id, self._clock())
         self._post(
             api.Outcome(
-                held.id, held.attempts - 1, host, ending.result, elapsed, ending.over, ending.wait, None, None
+                held.id, held.attempts - 1, host, ending.result, elapsed, ending.over, ending.wait,
+                None, None, ending.idle,
             )
-        )
+        )  # fmt: skip  # fmt: skip
 
     def _noticed(self, message: str) -> None:
         self.journal.over(message)
@@ -212,14 +214,15 @@
                 self._call(host, sends[first : first + size], batch=size > 1)
 
     def _call(self, host: str, sends: list[api.Send], batch: bool) -> None:
-        """One call waits as long as its most patient message, but past no message's deadline."""
+        """One call waits as long as its most patient message, and as one of its messages may live."""
         messages = [self.journal.held[send.message] for send in sends]
         for held in messages:
             held.attempts += 1
             self.sent_at[held.id] = self.now
-        left = min(held.deadline for held in messages) - wall_clock()
+        left = max(held.deadline for held in messages) - wall_clock()
         timeout = max(0, min(left, max(send.timeout for send in sends)))
-        self.hosts.send(host, messages, timeout / 1e6, batch)
+        limits = [send.most_idle for send in sends if send.most_idle is not None]
+        self.hosts.send(host, messages, timeout / 1e6, batch, min(limits) / 1e6 if limits else math.inf)
 
     def _end(self, message: str, status: int, again_ms: int) -> None:
         if answer := self.unanswered.pop(message, None):
--- a/loftrelay/hosts.py
+++ b/loftrelay/hosts.py
@@ -7,11 +7,11 @@
 import json
 import logging
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loftrelay.config import Address
 from loftrelay.http import Answer, AnswerSpoilt, Connection, ConnectionBroken
-from loftrelay.journal import Held, JournalFull
+from loftrelay.journal import Held, JournalFull, wall_clock
 from mulleinlead.interface import Result
 
 log = logging.getLogger(__name__)
@@ -42,6 +42,19 @@
     result: Result
     over: bool = False  # nothing more is owed
     wait: int = 0  # told wait, microseconds
+    idle: int | None = None  # how long its connection had stood idle, microseconds; 0: a new one
+
+
+@dataclass(slots=True)
+class Call:
+    """Messages that travel together. One that runs out of time leaves the others to wait on."""
+
+    host: str
+    messages: list[Held]
+    batch: bool
+    most_idle: float
+    asked: bool = False
+    idle: int | None = None
 
 
 def told_wait(answer: Answer) -> int:
@@ -57,10 +70,10 @@
     return Ending(result, answer.status in (200, 410), told_wait(answer))
 
 
-def read_batch(answer: Answer, ids: Sequence[str]) -> list[Ending]:
+def read_batch(answer: Answer, ids: Sequence[str]) -> dict[str, Ending]:
     """One ending for each message. In one that is not sound in all its rows none is believed."""
     if answer.status != 200:
-        return [read_single(answer)] * len(ids)
+        return dict.fromkeys(ids, read_single(answer))
     try:
         rows = [(entry["id"], entry["state"]) for entry in json.loads(answer.body)]
         if sorted(name for name, _ in rows) != sorted(ids):
@@ -68,8 +81,8 @@
         states = {name: Ending(STATES[s], s in ("delivered", "over"), told_wait(answer)) for name, s in rows}
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         log.warning("a batch answer can't be read: %r", error)
-        return [Ending(Result.SPOILT)] * len(ids)
-    return [states[name] for name in ids]
+        return dict.fromkeys(ids, Ending(Result.SPOILT))
+    return states
 
 
 class Hosts:
@@ -91,8 +104,9 @@
         self.calls: set[asyncio.Task[None]] = set()
         self.sweep_due: asyncio.TimerHandle | None = None
 
-    def send(self, host: str, messages: list[Held], timeout: float, batch: bool) -> None:
-        call = asyncio.create_task(self._call(host, messages, timeout, batch))
+    def send(self, host: str, messages: list[Held], timeout: float, batch: bool, most_idle: float) -> None:
+        """`most_idle`: no connection that has stood idle for so long is used (seconds)."""
+        call = asyncio.create_task(self._call(Call(host, messages, batch, most_idle), timeout))
         self.calls.add(call)
         call.add_done_callback(self.calls.discard)
 
@@ -106,30 +120,57 @@
         for host in list(self.idle):
             self.close_idle(host)
 
-    async def _call(self, host: str, messages: list[Held], timeout: float, batch: bool) -> None:
-        endings = await self._endings(host, messages, timeout, batch)
-        for message, ending in zip(messages, endings, strict=True):
-            self.ended(message, host, ending)
+    async def _call(self, call: Call, timeout: float) -> None:
+        now, call_later = wall_clock(), asyncio.get_running_loop().call_later
+        left = [(message, (message.deadline - now) / 1e6) for message in call.messages]
+        clocks = [
+            call_later(time, self._run_out, call, message)
+            for message, time in left
+            if time < timeout and len(left) > 1
+        ]
+        try:
+            endings = await self._endings(call, timeout)
+        finally:
+            for clock in clocks:
+                clock.cancel()
+        for message in list(call.messages):
+            self._end(call, message, endings[message.id])
+
+    def _run_out(self, call: Call, message: Held) -> None:
+        self._end(call, message, Ending(Result.TIMEOUT if call.asked else Result.NO_CONNECTION))
 
-    async def _endings(self, host: str, messages: list[Held], timeout: float, batch: bool) -> list[Ending]:
+    def _end(self, call: Call, message: Held, ending: Ending) -> None:
+        call.messages.remove(message)
+        self.ended(message, call.host, replace(ending, idle=call.idle))
+
+    async def _endings(self, call: Call, timeout: float) -> dict[str, Ending]:
+        """One ending for each message, by its id."""
         connection: Connection | None = None
-        asked = kept = False
+        kept = False
         result = Result.NO_CONNECTION
-        deadline = asyncio.get_running_loop().time() + timeout
+        ids = [message.id for message in call.messages]
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         try:
             async with asyncio.timeout_at(deadline):
-                connection = await self._kept(host) or await self._open(host)
-                for message in messages:
-                    self.tried(message, host)
-                asked = True
-                left = deadline - asyncio.get_running_loop().time()
-                answer = await self._ask(connection, messages, left, batch)
-            kept = self._keep(host, connection)
-            return read_batch(answer, [m.id for m in messages]) if batch else [read_single(answer)]
+                if connection := await self._kept(call.host, call.most_idle):
+                    call.idle = int((loop.time() - connection.idle_since) * 1e6)
+                else:
+                    connection = await self._open(call.host)
+                    call.idle = 0
+                ids = [message.id for message in call.messages]
+                if not ids:
+                    return {}  # all ran out of time before it came up
+                for message in call.messages:
+                    self.tried(message, call.host)
+                call.asked = True
+                answer = await self._ask(connection, call.messages, deadline - loop.time(), call.batch)
+            kept = self._keep(call.host, connection)
+            return read_batch(answer, ids) if call.batch else {ids[0]: read_single(answer)}
         except (JournalFull, NoRoom):
             result = Result.NOT_SENT
         except TimeoutError:
-            result = Result.TIMEOUT if asked else Result.NO_CONNECTION
+            result = Result.TIMEOUT if call.asked else Result.NO_CONNECTION
         except AnswerSpoilt:
             result = Result.SPOILT
         except ConnectionBroken:
@@ -139,12 +180,12 @@
         finally:
             if connection is not None and not kept:
                 connection.close()
-        if connection is not None and asked:
-            if not batch and connection.says_delivered:
-                return [Ending(Result.OK, over=True)]
+        if connection is not None and call.asked:
+            if not call.batch and connection.says_delivered:
+                return {ids[0]: Ending(Result.OK, over=True)}
             if not connection.written:
                 result = Result.NO_CONNECTION
-        return [Ending(result)] * len(messages)
+        return dict.fromkeys(ids, Ending(result))
 
     async def _ask(self, connection: Connection, messages: list[Held], timeout: float, batch: bool) -> Answer:
         headers = {"Host": "host", "Request-Timeout-Ms": str(max(1, int(timeout * 1000)))}
@@ -163,12 +204,13 @@
 
     # Connections
 
-    async def _kept(self, host: str) -> Connection | None:
+    async def _kept(self, host: str, most_idle: float) -> Connection | None:
         """The connection used last, so that those not needed grow old and are closed."""
-        while kept := self.idle.get(host, []):
+        now = asyncio.get_running_loop().time
+        while (kept := self.idle.get(host, [])) and now() - kept[-1].idle_since < most_idle:
             connection = kept.pop()
             try:
-                await asyncio.sleep(connection.idle_since + SETTLE - asyncio.get_running_loop().time())
+                await asyncio.sleep(connection.idle_since + SETTLE - now())
             except asyncio.CancelledError:
                 connection.close()
                 raise
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -34,9 +34,10 @@
 PACE_STEP, BACKLOG, RARE_GROWTH = 0.15, 10, 1.12
 EXTRA_WEIGHT = 0.25  # of each further message in a bundle, in the budget of a cold destination
 OUTAGE_STREAK, OUTAGE_ERRORS = 2 * SECOND, 0.6  # no success for so long, or most calls failing: an outage
-MANY_SPOILT = 3  # answers in a row that can't be read: only then the destination itself is held to fail
-LEAST_IDLE = SECOND  # a reset on a connection idle for less is no sign of an idle limit
-MANY_BREAKS = 3  # resets on idle connections that count as the network's doing
+MANY_STRAYS = 3  # failures in a row that tell of a connection: only then the destination is held to fail
+# Resets of connections by how long they had stood idle, in octaves. Below the least idle time a reset may as
+# well have crossed an answer, and is no sign of an idle limit.
+LEAST_IDLE, WEAR_SPAN, FEW_RESETS, WORN = SECOND // 8, 60 * SECOND, 2, 0.05
 SCARCE_SPAN = 30 * SECOND  # how long a kind that once took no connection is held to take only few
 LIVE_WEIGHT, FEE_WEIGHT, KNOWN_RATE = 3.0, 300.0, 1.0  # choosing: connection still open, fee, messages/s
 KEEP_GAP = 2 * SECOND  # a connection to such a kind stays open only where calls follow each other so fast
@@ -109,7 +110,7 @@
     refused: bool = False  # the last failure was a refusal
     outage: bool = False
     cold_since: int | None = None
-    spoilt: int = 0  # answers in a row that could not be read
+    strays: int = 0  # failures in a row that tell of the connection, not of the host
     times: Times = field(default_factory=Times)
     pace: float = math.inf  # calls a second
     unlucky: float = 0.5  # share of calls after a failure that fail, too
@@ -146,7 +147,6 @@
     usual: float = 0.0
     rate: float = 0.0  # told
     used_at: int = NEVER  # when its connections last carried something
-    idle_limit: int = NEVER  # idle time after which they were found dead
 
 
 @dataclass(slots=True)
@@ -155,7 +155,7 @@
 
     endpoint: Endpoint
     sent_at: int
-    idle: int = 0  # how long the connection had been idle
+    idle: int = 0  # how long its connection had stood idle: a guess until its outcome tells
     members: int = 0
     learned: bool = False
 
@@ -210,8 +210,7 @@
         self.arrivals = Rate()
         self.started = NEVER
         self.backlog: dict[int, Destination] = {}  # destinations with waiting messages
-        self.idle_breaks = Rate()
-        self.idle_limit = NEVER
+        self.wear: dict[int, tuple[Rate, Rate]] = {}  # octave of idle time -> calls, and those reset
         self.idle_told = settings.idle_limit or NO_IDLE
         self.calls_out = 0
         self.alarms: list[tuple[int, int, Message | Key | None]] = []
@@ -546,11 +545,13 @@
             return None
         open_endpoints.sort(key=self._cost)
         top: tuple[float, Message, Endpoint] | None = None
+        scores: list[float] = []
         for message in destination.waiting.values():
             if message.not_before > self.now:
                 self.wake = min(self.wake, message.not_before)
             elif self._in_turn(message):
                 score = self._score(message)
+                scores.append(score)
                 if top is not None and score <= top[0]:
                     continue
                 for endpoint in open_endpoints:
@@ -563,7 +564,19 @@
                 self.wake = min(self.wake, message.key.rest_until)
         if top is None:
             return None
-        return top[0] / max(SECOND / 20, self._times(top[2]).usual), top[1], top[2]
+        # Trouble: a bundle that came up against single calls for a scarce slot counted as one message.
+        worth = sum(heapq.nlargest(self._bundle_room(top[2]), scores))
+        return worth / max(SECOND / 20, self._times(top[2]).usual), top[1], top[2]
+
+    def _bundle_room(self, endpoint: Endpoint) -> int:
+        """How many messages a call to this endpoint may carry now."""
+        gate, most = endpoint.gate, endpoint.bundle_max
+        if gate.outage:
+            return 1  # a trial that fails must not spend the tries and key windows of a whole bundle
+        if most > 1 and gate.cold_since is not None:
+            spare = self._cold_room(gate, endpoint.destination) - sum(w for _, w in gate.sends) - 1
+            most = int(min(most, 1 + max(0.0, spare) / EXTRA_WEIGHT))
+        return most
 
     def _cost(self, endpoint: Endpoint) -> tuple[bool, float]:
         """Drawn where this relay sees too little: relays that all take the quickest flood that one."""
@@ -584,18 +597,16 @@
         gate, destination = endpoint.gate, endpoint.destination
         members = [first]
         if endpoint.bundle_max > 1:
-            most = endpoint.bundle_max
-            if gate.outage:
-                most = 1  # a trial that fails must not spend the tries and key windows of a whole bundle
-            elif gate.cold_since is not None:
-                spare = self._cold_room(gate, destination) - sum(w for _, w in gate.sends) - 1
-                most = int(min(most, 1 + max(0.0, spare) / EXTRA_WEIGHT))
             ready = [m for m in destination.waiting.values() if m is not first and m.not_before <= self.now]
             ready = [m for m in ready if self._in_turn(m) and self._may_send(m, endpoint)]
-            members += sorted(ready, key=self._score, reverse=True)[: most - 1]
+            members += sorted(ready, key=self._score, reverse=True)[: self._bundle_room(endpoint) - 1]
         call = Call(endpoint, self.now, 0 if endpoint.in_flight else max(0, self.now - endpoint.used_at))
-        if call.idle > min(endpoint.idle_limit, self.idle_limit):
-            self.actions.append(api.CloseIdle(endpoint.name))  # trouble: idle connections die unseen
+        # Trouble: idle connections die unseen. A call that can be repeated may still try them, and goes on
+        # showing whether they do; where a reset is a message's end, a handshake is the lesser price.
+        last = any(m.about.effect not in (Effect.SAFE, Effect.KEYED) for m in members)
+        most_idle = self._idle_limit() if last else None
+        if most_idle is not None and call.idle >= most_idle:
+            self.actions.append(api.CloseIdle(endpoint.name))
             call.idle = 0
         endpoint.used_at = self.now
         endpoint.calls.add(self.now)
@@ -603,7 +614,8 @@
             del destination.waiting[message.name]
             message.call = call
             message.depth += 1
-            self.actions.append(api.Send(message.name, endpoint.name, self._timeout(message, endpoint)))
+            timeout = self._timeout(message, endpoint)
+            self.actions.append(api.Send(message.name, endpoint.name, timeout, most_idle))
         call.members = len(members)
         self.calls_out += 1
         for counter in (gate, destination, endpoint):
@@ -644,7 +656,8 @@
         if event.wait > 0:
             # Rule 'waits'. Each message of a bundle tells it anew, and the last may come a tick later.
             call.endpoint.gate.told_until = max(call.endpoint.gate.told_until, self.now + event.wait)
-        if not call.learned:
+        # The members of a bundle run out of time one by one: while others wait on, its fate is not known.
+        if not call.learned and (call.members == 0 or event.result is not Result.TIMEOUT):
             call.learned = True
             self._learn(call, event)
         if event.result in DOUBTFUL:
@@ -661,17 +674,17 @@
         gate, endpoint = call.endpoint.gate, call.endpoint
         endpoint.used_at = self.now
         self._close_idle(endpoint, event.result)
-        if event.result is Result.BROKEN and call.idle > LEAST_IDLE:
-            # Resets on connections that had been idle: something on the way drops them without a word.
-            endpoint.idle_limit = min(endpoint.idle_limit, call.idle // 2)
-            self.idle_breaks.add(self.now)
-            if self.idle_breaks.read(self.now) * RATE_SPAN / SECOND > MANY_BREAKS:
-                self.idle_limit = min(
-                    self.idle_limit, call.idle // 2
-                )  # the network's habit, not one endpoint's
-        gate.spoilt = gate.spoilt + 1 if event.result is Result.SPOILT else 0
-        if 0 < gate.spoilt < MANY_SPOILT:
-            return  # trouble: the way spoils answers of sound hosts, which were paused for it
+        if event.idle is not None:
+            call.idle = event.idle
+        if event.result not in (Result.NO_CONNECTION, Result.NOT_SENT):
+            self._learn_wear(call.idle, event.result)
+        # Trouble: the way spoils answers of sound hosts, and resets connections that were kept; destinations
+        # were shut for it. A host that is down shows all the same: to new connections, or by the third in a
+        # row. Harm: one that resets all it has begun, on kept connections alone, is found two calls later.
+        reset = event.result is Result.BROKEN and call.idle > (0 if event.idle is not None else LEAST_IDLE)
+        gate.strays = gate.strays + 1 if reset or event.result is Result.SPOILT else 0
+        if 0 < gate.strays < MANY_STRAYS:
+            return
         if gate.failures and call.sent_at > gate.failed_at:
             luck = endpoint.kin.luck
             luck[gate.refused] += ((event.result is Result.OK) - luck[gate.refused]) / 8
@@ -680,6 +693,26 @@
         elif event.result is not Result.NOT_SENT:
             self._learn_failure(gate, endpoint, call, event)
 
+    def _learn_wear(self, idle: int, result: Result) -> None:
+        octave = (idle // LEAST_IDLE).bit_length()
+        calls, resets = self.wear.setdefault(octave, (Rate(WEAR_SPAN), Rate(WEAR_SPAN)))
+        calls.add(self.now)
+        if result is Result.BROKEN:
+            resets.add(self.now)
+
+    def _idle_limit(self) -> int | None:
+        """The idle time from which on connections are reset far more often than fresh ones, over all hosts:
+        time-outs of hosts, of what stands between, tables that overflow. Harm: where only some hosts or ways
+        do so, the others' connections are opened anew for unsafe messages, too."""
+        bound = 2 * self._reset_share(0) + WORN
+        worn = [octave for octave in self.wear if octave and self._reset_share(octave) > bound]
+        return LEAST_IDLE << min(worn) - 1 if worn else None
+
+    def _reset_share(self, octave: int) -> float:
+        """Of the calls on connections so long idle; 0 where too few were reset to tell."""
+        calls, resets = (rate.read(self.now) for rate in self.wear.get(octave, (Rate(), Rate())))
+        return resets / calls if resets * WEAR_SPAN / SECOND > FEW_RESETS else 0.0
+
     def _close_idle(self, endpoint: Endpoint, result: Result) -> None:
         """Trouble: idle connections of hundreds of relays fill a partner's table; close the rarely used."""
         if result is Result.NO_CONNECTION:
@@ -725,8 +758,11 @@
         gate.window /= 2
         own = self._own_rate(gate, endpoint.destination)
         if full:
-            seen = max((len(gate.sends) - 1) * SECOND / self.tip_after, own)
-            gate.pace = max(min(gate.pace, seen) * PACE_CUT, own * PACE_FLOOR)
+            # Trouble: held against messages a second, the pace of full bundles rose with each refusal. Demand
+            # asks for so many calls at the least; small bundles take more, and get them as calls succeed.
+            need = own / endpoint.bundle_max
+            seen = max((len(gate.sends) - 1) * SECOND / self.tip_after, need)
+            gate.pace = max(min(gate.pace, seen) * PACE_CUT, need * PACE_FLOOR)
             gate.window = min(gate.window, 0.5)
         elif any(e.failures == 0 for e in siblings):
             gate.window = max(1.0, gate.window)  # one endpoint of several: the others go on
--- a/mulleinlead/interface.py
+++ b/mulleinlead/interface.py
@@ -179,6 +179,7 @@
     wait: int  # told wait, 0 if none
     limit: float | None  # report: calls a second that the destination takes from all; 0 for no limit
     room: float | None  # report: share of that limit left
+    idle: int | None = None  # how long its connection had stood idle; 0: a new one; None: not told
 
 
 @dataclass(slots=True, frozen=True)
@@ -222,6 +223,7 @@
     message: str
     endpoint: str
     timeout: int
+    most_idle: int | None = None  # no connection that has stood idle for so long carries it; None: any may
 
 
 @dataclass(slots=True, frozen=True)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -1,5 +1,6 @@
 """The design's own path: at once, then base times a growing power of two, inside a window."""
 
+from dataclasses import replace
 from itertools import pairwise
 
 from mulleinlead import interface as api
@@ -131,6 +132,23 @@
     assert sends(d.submit("last")) == []
 
 
+def test_a_reset_of_a_kept_connection_is_no_failure_of_the_destination() -> None:
+    d = Driver(entry("a"))
+    d.warm()
+    gate = d.brain.destinations[1].gate
+    window = gate.window
+    for i in range(3):
+        d.submit(f"m{i}", "unsafe")
+        d.feed(replace(d.outcome_event(f"m{i}", api.Result.BROKEN), idle=20 * MS))
+        assert (gate.window == window) == (i < 2)  # three in a row do tell of the host
+    d.run(20 * S)
+    d.warm()
+    window = gate.window
+    d.submit("new", "unsafe")
+    d.feed(replace(d.outcome_event("new", api.Result.BROKEN), idle=0))
+    assert gate.window < window
+
+
 def test_resets_right_after_an_answer_teach_no_idle_limit() -> None:
     """Hosts that close right after an answer made the module open a connection for each call, for good."""
     d = Driver(entry("a"))
