--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -28,6 +28,7 @@
 LATENCY_RISE = 2.5  # smoothed call time over its long-run value that narrows the window
 # Time-outs: usual call time + PATIENCE deviations, inside these bounds; unsafe messages cannot go again.
 PATIENCE, LEAST_TIMEOUT, FIRST_TIMEOUT, UNSAFE_PATIENCE = 6, SECOND, 3 * SECOND, 3
+SCARCE_TIMEOUT = 6 * SECOND // 10  # the least one for the last free slot
 RATE_SPAN = 10 * SECOND  # memory of arrivals, calls to an endpoint, resets
 DEMAND_SPAN, LEAST_SPAN = 60 * SECOND, 2 * SECOND  # memory of the demand that this relay was given
 PACE_CUT, PACE_GROWTH, PACE_FLOOR = 0.8, 1.06, 0.5  # the floor counts in this relay's own demand
@@ -158,6 +159,7 @@
     idle: int = 0  # how long its connection had stood idle: a guess until its outcome tells
     members: int = 0
     learned: bool = False
+    keys: list[Key] = field(default_factory=list)  # of members that ran out of time while it is still out
 
 
 @dataclass(slots=True)
@@ -380,7 +382,8 @@
     def _leave_line(self, message: Message) -> None:
         assert message.key is not None
         message.key.queue.remove(message)
-        self._alarm(message.key.rest_until, message.key)
+        if message.key.rest_until < NEVER:
+            self._alarm(message.key.rest_until, message.key)
 
     def _last_send(self, message: Message) -> int:
         """The last moment at which a call of usual length can still be answered in time."""
@@ -586,7 +589,7 @@
             weight *= weight
         else:
             weight *= endpoint.rate  # routes apart, and their limits told
-        if endpoint.in_flight == 0 and self.now - endpoint.used_at < self.idle_told:
+        if self.now - endpoint.used_at < self.idle_told:  # busy or not: one call more seldom needs another
             weight *= LIVE_WEIGHT
         if endpoint.destination.demand.read(self.now) < KNOWN_RATE * self._known():
             weight /= self.random.expovariate(1)
@@ -632,8 +635,10 @@
     def _timeout(self, message: Message, endpoint: Endpoint) -> int:
         """A hung call must not pin its slot: time out from seen call times, never past the deadline."""
         limit, gate, times = FIRST_TIMEOUT, endpoint.gate, self._times(endpoint)
+        # Trouble: answers that never came held a fifth of all slots while hundreds waited for one.
+        least = LEAST_TIMEOUT if self.calls_out < self.slots - 1 else SCARCE_TIMEOUT
         if times.usual:
-            limit = int(max(LEAST_TIMEOUT, times.usual + PATIENCE * times.deviation))
+            limit = int(max(least, times.usual + PATIENCE * times.deviation))
         if gate.failures == 0 and self.calls_out * 2 <= self.slots:
             limit *= 2  # trouble: slow but sound calls were cut while slots lay idle
         if message.about.effect not in (Effect.SAFE, Effect.KEYED):
@@ -653,6 +658,8 @@
             self.calls_out -= 1
             for counter in (call.endpoint.gate, call.endpoint.destination, call.endpoint):
                 counter.in_flight -= 1
+            for key in call.keys:
+                self._rest(key)
         if event.wait > 0:
             # Rule 'waits'. Each message of a bundle tells it anew, and the last may come a tick later.
             call.endpoint.gate.told_until = max(call.endpoint.gate.told_until, self.now + event.wait)
@@ -664,12 +671,20 @@
             if message.ran_at is None:
                 message.ran_at, message.ran_on = call.sent_at, call.endpoint
             if message.key is not None and event.result is not Result.ERROR:
-                message.key.rest_until = self.now + (self.told.rest_after_doubt or 0)
+                if call.members:
+                    message.key.rest_until = NEVER  # rule 'order': until nothing of this call is out any more
+                    call.keys.append(message.key)
+                else:
+                    self._rest(message.key)
         if event.over or message.over:
             self._finish(message, None)
         else:
             self._retry_later(message, event)
 
+    def _rest(self, key: Key) -> None:
+        key.rest_until = self.now + (self.told.rest_after_doubt or 0)
+        self._alarm(key.rest_until, key)
+
     def _learn(self, call: Call, event: api.Outcome) -> None:
         gate, endpoint = call.endpoint.gate, call.endpoint
         endpoint.used_at = self.now
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -472,30 +472,42 @@
 
 
 def test_a_message_out_of_time_leaves_the_rest_of_its_batch_waiting(tmp_path: Path) -> None:
-    """A batch was given up, with all in it, when the time of its most urgent message was over."""
+    """A batch was given up, with all in it, when the time of its most urgent message was over. It may be
+    running still, so that the next of a key waits until the whole batch is over."""
 
     async def scenario(w: World) -> None:
-        w.name(kind="bulk")
-        await w.start()
-        assert await w.hand_in("patient", "order", path="/order/a") == 202
-        assert await w.hand_in("urgent", "order", path="/order/b", Request_Timeout_Ms="2000") == 202
+        async def phase(name: str) -> None:
+            w.members[0]["phase"] = name
+            w.revision += 1
+            w.bump()
+            await w.until(lambda: any(f"index={w.revision}&" in r.target for r in w.discovery.requests))
 
         async def script(request: Request) -> bytes:
-            await w.until(lambda: bool(w.notices))
+            if b"urgent" in request.body:
+                await w.until(lambda: bool(w.notices))
+                assert await w.hand_in("behind", "order", path="/order/b") == 202
+                assert await w.hand_in("elsewhere", dest=2) == 202
+                await w.until(lambda: bool(other.requests))
+                early.extend(host.requests[2:])
             rows = [{"id": row["id"], "state": "delivered"} for row in json.loads(request.body)]
             return reply(200, json.dumps(rows).encode())
 
+        early: list[Request] = []
         host = await w.host(script, kind="bulk")
+        other = await w.host(deliver, dest=2)
+        await w.start()
+        assert await w.hand_in("warm") == 202
         await w.until(lambda: host.answered == 1)
-        await w.end(signal.SIGTERM)
+        await phase("Terminating")  # so that both wait and go together
+        assert await w.hand_in("patient", "order", path="/order/a") == 202
+        assert await w.hand_in("urgent", "order", path="/order/b", Request_Timeout_Ms="2000") == 202
+        await phase("Ready")
+        await w.until(lambda: host.answered == 3)
+        sent = [{row["id"] for row in json.loads(request.body)} for request in host.requests]
+        assert not early and sent == [{"warm"}, {"patient", "urgent"}, {"behind"}]
         assert w.notices == [failed("urgent")]
-        assert len(host.requests) == 1 and b"patient" in host.requests[0].body
-        await w.start()  # what is delivered is not sent again
-        assert await w.hand_in("next", "order", path="/order/a") == 202
-        await w.until(lambda: len(host.requests) == 2)
-        assert [row["id"] for row in json.loads(host.requests[1].body)] == ["next"]
 
-    run(scenario, tmp_path)
+    run(scenario, tmp_path, safety={"ask_every": 10_000_000, "settle_after_doubt": 1})
 
 
 @pytest.mark.parametrize(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -153,6 +153,22 @@
     assert d.sent[-1][1].message == "m1" and d.now >= doubt + 300 * MS
 
 
+def test_a_key_waits_for_the_whole_call_of_a_message_out_of_time() -> None:
+    d = Driver(entry("a", kind="bundled"))
+    d.submit("busy")
+    d.feed(
+        api.Submit("short", 1, "strict", None, 2 * S, "k"),
+        api.Submit("long", 1, "strict", None, 20 * S, "l"),
+        api.Submit("next", 1, "strict", None, 20 * S, "k"),
+    )
+    assert sends(d.outcome("busy", Result.OK)) == ["short", "long"]
+    assert ends(d.outcome("short", Result.TIMEOUT, after=2 * S)) == [(api.Fail, "short")]
+    d.run(S)
+    assert [s.message for _, s in d.sent[-2:]] == ["short", "long"]
+    assert sends(d.outcome("long", Result.OK)) == []
+    assert sends(d.run(S)) == ["next"] and d.now >= d.sent[-3][0] + 3 * S
+
+
 def test_a_withdrawn_message_still_blocks_its_key_until_its_outcome() -> None:
     d = Driver(entry("a"))
     d.warm()
