--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -157,6 +157,7 @@
     endpoint: Endpoint
     sent_at: int
     idle: int = 0  # how long its connection had stood idle: a guess until its outcome tells
+    cut: bool = False  # deadlines leave it too little time to tell anything of its host
     members: int = 0
     learned: bool = False
     keys: list[Key] = field(default_factory=list)  # of members that ran out of time while it is still out
@@ -245,7 +246,7 @@
     def _absorb(self, event: api.Event) -> None:
         match event:
             case api.Submit():
-                self._accept(event)
+                self._accept(event, 0)
             case api.Outcome():
                 self._outcome(event)
             case api.Listing():
@@ -310,7 +311,7 @@
 
     # A message arrives
 
-    def _accept(self, event: api.Submit) -> Message:
+    def _accept(self, event: api.Submit, age: int) -> Message:
         about = self.told.classes.get(event.class_name) or api.MessageClass(
             event.class_name, Effect.UNKNOWN, None, None, None, None, None, None, False
         )
@@ -320,8 +321,10 @@
             event.message, about, destination, worth, self.now, self.now + max(0, event.remaining), None
         )
         self.messages[event.message] = message
-        self.arrivals.add(self.now)
-        destination.demand.add(self.now)
+        # What a restart brings back has come over longer than a moment, and passed for a rush.
+        weight = LEAST_SPAN / max(LEAST_SPAN, age)
+        self.arrivals.add(self.now, weight)
+        destination.demand.add(self.now, weight)
         if about.in_order and event.order_key is not None:
             message.key = self.keys.setdefault(event.order_key, Key(event.order_key))
             message.key.queue.append(message)
@@ -330,7 +333,7 @@
 
     def _recover(self, event: api.Recovered) -> None:
         """Takes up a message from before a restart, with all that binds what may still be done with it."""
-        message = self._accept(event.submit)
+        message = self._accept(event.submit, event.age)
         message.arrived, message.depth, message.not_before = self.now - event.age, event.attempts, self.now
         if event.ran_ago is not None:
             message.ran_at, message.ran_on = self.now - event.ran_ago, self.endpoints.get(event.ran_on or "")
@@ -489,7 +492,7 @@
 
     def _gap(self, gate: Gate, rate: float) -> int:
         """Between calls at a rate; beyond a second it is drawn, and shorter while such calls succeed."""
-        gap = 1 / max(rate, 1e-6)
+        gap = 1 / max(rate, SECOND / self.cold)
         return int(SECOND * (gap if gap < 1 else 1 + (gap - 1) * gate.unlucky * gate.spread))
 
     def _known(self) -> float:
@@ -547,14 +550,16 @@
         if not open_endpoints:
             return None
         open_endpoints.sort(key=self._cost)
+        trial = open_endpoints[0].gate.outage
         top: tuple[float, Message, Endpoint] | None = None
         scores: list[float] = []
         for message in destination.waiting.values():
             if message.not_before > self.now:
                 self.wake = min(self.wake, message.not_before)
             elif self._in_turn(message):
-                score = self._score(message)
-                scores.append(score)
+                # A trial goes with the message that can wait longest for its answer.
+                score = float(message.deadline) if trial else self._score(message)
+                scores.append(self._score(message))
                 if top is not None and score <= top[0]:
                     continue
                 for endpoint in open_endpoints:
@@ -617,7 +622,9 @@
             del destination.waiting[message.name]
             message.call = call
             message.depth += 1
-            timeout = self._timeout(message, endpoint)
+            patience = self._patience(message, endpoint)
+            timeout = max(1, min(patience, message.deadline - self.now))
+            call.cut = timeout < min(patience, LEAST_TIMEOUT) // 2 and (call.cut or message is first)
             self.actions.append(api.Send(message.name, endpoint.name, timeout, most_idle))
         call.members = len(members)
         self.calls_out += 1
@@ -632,8 +639,8 @@
         """What is known of call times: the gate's own, else those of its kind."""
         return endpoint.gate.times if endpoint.gate.times.usual else endpoint.kin.times
 
-    def _timeout(self, message: Message, endpoint: Endpoint) -> int:
-        """A hung call must not pin its slot: time out from seen call times, never past the deadline."""
+    def _patience(self, message: Message, endpoint: Endpoint) -> int:
+        """A hung call must not pin its slot: time out from seen call times."""
         limit, gate, times = FIRST_TIMEOUT, endpoint.gate, self._times(endpoint)
         # Trouble: answers that never came held a fifth of all slots while hundreds waited for one.
         least = LEAST_TIMEOUT if self.calls_out < self.slots - 1 else SCARCE_TIMEOUT
@@ -643,7 +650,7 @@
             limit *= 2  # trouble: slow but sound calls were cut while slots lay idle
         if message.about.effect not in (Effect.SAFE, Effect.KEYED):
             limit *= UNSAFE_PATIENCE  # a time-out is its end, so it waits longer
-        return max(1, min(limit, message.deadline - self.now))
+        return limit
 
     # Learning from outcomes
 
@@ -700,6 +707,8 @@
         gate.strays = gate.strays + 1 if reset or event.result is Result.SPOILT else 0
         if 0 < gate.strays < MANY_STRAYS:
             return
+        if event.result is Result.TIMEOUT and call.cut:
+            return  # trouble: trials were cut off by their messages' deadlines, and taken for failures
         if gate.failures and call.sent_at > gate.failed_at:
             luck = endpoint.kin.luck
             luck[gate.refused] += ((event.result is Result.OK) - luck[gate.refused]) / 8
@@ -783,7 +792,9 @@
             gate.window = max(1.0, gate.window)  # one endpoint of several: the others go on
         if gate.window < 1:
             # Below one call the window becomes a pause: limits without told waits, shut, silent or failing.
-            pause = min(int(BASE * 0.5 / gate.window), LONGEST_PAUSE)
+            # A call that found no connection cost its host nothing, so that such trials come closer together.
+            longest = LONGEST_PAUSE // 2 if event.result is Result.NO_CONNECTION else LONGEST_PAUSE
+            pause = min(int(BASE * 0.5 / gate.window), longest)
             if full:
                 # Trouble: relays that all come back when told keep a counted limit empty: waits stretch.
                 stretched = event.wait * 2 ** min(max(0, gate.failures - 3), 3)
--- a/tests/test_ordinary_path.py
+++ b/tests/test_ordinary_path.py
@@ -162,3 +162,21 @@
     d.submit("next", after=500 * MS)
     assert sends(d.log) == ["next"]
     assert not any(isinstance(a, api.CloseIdle) for a in d.log)
+
+
+def test_a_call_cut_off_by_its_deadline_tells_nothing_of_its_host() -> None:
+    """Trials went with the message nearest its deadline, ran out of time at once, and shut it again."""
+    d = Driver(entry("a"))
+    for i in range(4):
+        d.submit(f"m{i}", remaining=S // 10)
+        d.outcome(f"m{i}", api.Result.TIMEOUT, after=S // 10)
+    assert sends(d.submit("next")) == ["next"]
+
+
+def test_a_destination_seldom_used_is_tried_again_in_time() -> None:
+    """The less was known of its demand the longer it was shut: for minutes, and after a restart for good."""
+    for seed in range(5):
+        d = Driver(entry("a"), seed=seed)
+        d.submit("m", after=600 * S)
+        d.outcome("m", api.Result.NO_CONNECTION)
+        assert sends(d.run(15 * S)) == ["m"]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -422,6 +422,25 @@
     run(scenario, tmp_path)
 
 
+def test_messages_out_of_time_do_not_shut_their_destination(tmp_path: Path) -> None:
+    """Calls that deadlines cut off after 0.3 s were taken for failures of the host."""
+
+    async def scenario(w: World) -> None:
+        async def script(request: Request) -> bytes:
+            return await (never if request.id.startswith("short") else deliver)(request)
+
+        host = await w.host(script)
+        await w.start()
+        for i in range(5):
+            assert await w.hand_in(f"short{i}", Request_Timeout_Ms="300") == 202
+            await w.until(lambda n=i: len(w.notices) == n + 1)  # type: ignore[misc]
+        assert await w.hand_in("next") == 202
+        await w.until(lambda: host.answered == 1)
+        assert not any("failing" in line for line in w.log)
+
+    run(scenario, tmp_path)
+
+
 def test_a_stale_kept_connection_costs_no_message(tmp_path: Path) -> None:
     """A request written to a connection that the host has closed ends as a reset, and may have run."""
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -257,6 +257,18 @@
     assert len(d.sent) - before <= 8
 
 
+def test_a_trial_goes_with_the_message_that_has_most_time() -> None:
+    d = Driver(entry("a"))
+    outage(d, Result.NO_CONNECTION, seconds=8)
+    assert d.brain.destinations[1].gate.outage
+    d.feed(*[api.Withdrawn(name) for name in d.brain.messages])
+    d.submit("short", remaining=9 * S)
+    d.submit("long", remaining=18 * S)
+    while d.sent[-1][1].message not in ("short", "long"):
+        d.run(5 * S)
+    assert d.sent[-1][1].message == "long"
+
+
 def test_a_trial_risks_one_message_not_a_bundle() -> None:
     """Found on a hang: trial bundles spent the tries and key windows of all their messages."""
     d = Driver(entry("a", kind="bundled"))
