--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -574,9 +574,7 @@
             return None
         # Trouble: a bundle that came up against single calls for a scarce slot counted as one message.
         worth = sum(heapq.nlargest(self._bundle_room(top[2]), scores))
-        # Trouble: far endpoints took scarce slots at their destination's mean time, past near ones of others.
-        usual = top[2].usual or self._times(top[2]).usual
-        return worth / max(SECOND / 20, usual), top[1], top[2]
+        return worth / max(SECOND / 20, self._times(top[2]).usual), top[1], top[2]
 
     def _bundle_room(self, endpoint: Endpoint) -> int:
         """How many messages a call to this endpoint may carry now."""
