A batch call is given up as a whole, before the notice of its first message

A traced play showed one bundle of 20 whose first member's time ran out while the call was out. Its notice was told, the call stayed open for the rest, and the whole answer that came 0.4 s later, all 'delivered', was not counted by the platform; the relay held 19 messages to be over. Change: the engine lets a call wait no longer than the least patient of its messages lives, so that all end together and the connection is closed first. Also: an id that comes again while its notice is out got 202, with nothing to follow; it gets the same end now.

--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -132,15 +132,21 @@
         else:
             self._record_end(held.id, "refused")  # its client went meanwhile
 
-    def answer_to(self, message: str) -> int | None:
-        """What an id is answered that this relay has, or had: None for a new one.
+    def answer_to(self, message: str) -> tuple[int, int] | None:
+        """What an id is answered that this relay has, or had: a status, and when to come back (ms). None for
+        a new one.
 
         An unsafe message is known until its time is up, so that a client which heard nothing and hands it in
-        again under its id makes no second effect."""
-        if message in self.journal.held:
-            return TAKEN
+        again under its id makes no second effect. One whose notice is out gets that same end: the notice may
+        have been heard already, and nothing would follow a 202."""
+        if (held := self.journal.held.get(message)) is not None:
+            if held.notice is None or message in self.closing or message in self.untold:
+                return TAKEN, 0
+            if held.notice["status"] == "deferred":
+                return REFUSED, held.notice.get("again_ms") or REFUSED_HERE_MS
+            return FAILED, 0
         was = self.journal.ended(message)
-        return was.status if was is not None else None
+        return (was.status, 0) if was is not None else None
 
     def hold(self) -> None:
         """Before the end of the process: nothing new is begun, what comes is kept for the next start."""
@@ -352,12 +358,14 @@
                 self._call(host, sends[first : first + size], batch=size > 1)
 
     def _call(self, host: str, sends: list[api.Send], batch: bool) -> None:
-        """One call waits as long as its most patient message, and as one of its messages may live."""
+        """One call waits as long as its most patient message, and as all of its messages live: it is given up
+        as a whole. Trouble: one whose time ran out was told of while the call stayed out for the rest; the
+        platform counted none of what its whole answer then called delivered (19 lost, incident r1ecba7)."""
         messages = [self.journal.held[send.message] for send in sends]
         for held in messages:
             held.attempts += 1
             self.sent_at[held.id] = self.now
-        left = max(held.deadline for held in messages) - wall_clock()
+        left = min(held.deadline for held in messages) - wall_clock()
         timeout = max(0, min(left, max(send.timeout for send in sends)))
         limits = [send.most_idle for send in sends if send.most_idle is not None]
         unsafe = any(held.class_name in self.unsafe for held in messages)
--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class Call:
-    """Messages that travel together. One that runs out of time leaves the others to wait on."""
+    """Messages that travel together, and fare together: the call is given up as a whole."""
 
     number: int
     host: str
@@ -149,13 +149,6 @@
     # A call
 
     async def _call(self, call: Call) -> None:
-        now, call_later = wall_clock(), asyncio.get_running_loop().call_later
-        left = [(message, (message.deadline - now) / 1e6) for message in call.messages]
-        clocks = [
-            call_later(time, self._run_out, call, message)
-            for message, time in left
-            if time < call.terms.timeout and len(left) > 1
-        ]
         try:
             endings = await self._endings(call)
         except Exception:
@@ -163,18 +156,8 @@
             log.exception("a call to %s was given up", call.host)
             result = Result.BROKEN if call.asked else Result.NOT_SENT
             endings = {message.id: Ending(result) for message in call.messages}
-        finally:
-            for clock in clocks:
-                clock.cancel()
-        for message in list(call.messages):
-            self._end(call, message, endings[message.id])
-
-    def _run_out(self, call: Call, message: Held) -> None:
-        self._end(call, message, Ending(Result.TIMEOUT if call.asked else Result.NO_CONNECTION))
-
-    def _end(self, call: Call, message: Held, ending: Ending) -> None:
-        call.messages.remove(message)
-        self.ended(message, call.host, replace(ending, idle=call.idle))
+        for message in call.messages:
+            self.ended(message, call.host, replace(endings[message.id], idle=call.idle))
 
     async def _endings(self, call: Call) -> dict[str, Ending]:
         """One ending for each message, by its id."""
@@ -189,10 +172,6 @@
                     # What was decided holds for a moment only: a drain or a wait may be told meanwhile.
                     async with asyncio.timeout_at(begin_by):
                         number = await self._connection(call)
-                    ids = [message.id for message in call.messages]
-                    if not ids:  # all ran out of time before it came up
-                        self._do(self.pools.unused(number, self._now()))
-                        return {}
                     try:
                         answer = await self._ask(call, number, deadline)
                         break
--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -215,7 +215,7 @@
         if engine.awaits(held.id):
             raise BadRequest(409, "a request with this id is open")
         if (known := engine.answer_to(held.id)) is not None:
-            self._answer(known)
+            self._answer(*known)
         else:
             self.pending, self.due = held.id, math.inf
             engine.submit(held, self._answer)
--- /dev/null
+++ b/tests/program/test_ids_seen_before.py
@@ -0,0 +1,67 @@
+"""An id that comes again: while its message is open, while its end is being told, and afterwards."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from tests.standins.platform import SETTINGS, Request, World, message, reply, run
+
+ONE_TRY = {**SETTINGS["policy_limits"], "most_tries": 1}
+
+
+@pytest.mark.parametrize(("status", "told", "answer"), [(503, "deferred", 503), (500, "undeliverable", 500)])
+def test_while_its_notice_is_out_it_gets_the_same_end(
+    tmp_path: Path, status: int, told: str, answer: int
+) -> None:
+    """The notice may have been heard already: after a 202 nothing more would come, and it would be lost."""
+
+    async def scenario(w: World) -> None:
+        release = asyncio.Event()
+        told_so: list[dict[str, str]] = []
+
+        async def hear(request: Request) -> bytes | None:
+            told_so.extend(json.loads(line) for line in request.body.splitlines())
+            w.bump()
+            await release.wait()
+            return b""  # goes on as usual: 204
+
+        async def refuse(request: Request) -> bytes | None:
+            return reply(status)
+
+        w.hear = hear
+        host = await w.host(refuse)
+        await w.start()
+        assert await w.hand_in("m", "order") == 202
+        await w.until(lambda: bool(told_so))
+        assert told_so[0] == {"id": "m", "status": told}
+        again, headers, _ = await w.ask(message("m", "order"))
+        assert again == answer and (answer == 500 or float(headers["retry-after"]) > 0)
+        release.set()
+        await w.until(lambda: bool(w.notices))
+        assert host.ids == ["m"]
+
+    run(scenario, tmp_path, policy_limits=ONE_TRY)
+
+
+def test_while_it_is_open_it_is_taken_on_once(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        release = asyncio.Event()
+
+        async def late(request: Request) -> bytes | None:
+            await release.wait()
+            return reply(200)
+
+        host = await w.host(late)
+        await w.start()
+        assert [await w.hand_in("m", "order") for _ in range(3)] == [202] * 3
+        release.set()
+        await w.until(lambda: host.answered == 1)
+        while (status := await w.hand_in("m", "order")) == 202:
+            pass  # the relay has not read the host's answer yet
+        assert status == 200 and host.ids == ["m"]
+
+    run(scenario, tmp_path)
