--- a/benchmarks/record.py
+++ b/benchmarks/record.py
@@ -1,9 +1,12 @@
 """The store of record: messages a second with and without it, whether store and partner agree after kills.
 
 python -m benchmarks.record [--quick]; the last line is JSON:
-  messages, kills, disagreements, duplicates   work orders while the relay is killed: store against partner
+  messages, kills, cuts, disagreements, duplicates
+                       work orders, half of them while the relay is killed (SQLite), half while its connection
+                       is cut at random bytes (a stand-in for PostgreSQL; cuts is null without psycopg)
   none, follows, required                      messages a second through the whole relay, in turns of one run
   follows_ratio, required_ratio                the medians of the turns, to `none` in the same turn
+  commits_per_message                          with `required`, all changes of a message: group commit at work
   commit_ms                                    one commit of one change on this disk, the median
   take_p99_ms                                  taking a message on with `required`
 """
@@ -15,14 +18,17 @@
 import contextlib
 import json
 import random
+import re
+import signal
 import statistics
 import tempfile
+import threading
 import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
 
-from loftrelay.record.rules import About, Answer, Change, Kind
+from loftrelay.record.rules import About, Answer, Change, Entry, Kind
 from loftrelay.record.sqlite import SQLiteStore
 from loftrelay.record.store import Query
 from tests.program.test_connections import LIMITS
@@ -81,17 +87,67 @@
                 if all(name in found and found[name].told_at is not None for name in account.taken):
                     break
                 await asyncio.sleep(0.1)
-        disagreements = len(wrong)
-        for name, entry in found.items():
-            ran = partner.effects[name] > 0
-            if (entry.answer is Answer.DELIVERED and not ran) or (entry.answer is Answer.REFUSED and ran):
-                disagreements += 1
-        disagreements += len(set(partner.effects) - set(found))
-        duplicates = sum(ran - 1 for ran in partner.effects.values())
-        return {
-            "messages": len(account.taken), "kills": kills, "disagreements": disagreements,
-            "duplicates": duplicates,
-        }  # fmt: skip
+        return {"kills": kills, **compare(found, wrong, partner, account)}
+
+
+def compare(
+    found: dict[str, Entry], wrong: list[str], partner: Partner, account: Account
+) -> dict[str, int]:
+    """Store against partner, message by message."""
+    disagreements = len(wrong) + len(set(partner.effects) - set(found))
+    for name, entry in found.items():
+        ran = partner.effects[name] > 0
+        if (entry.answer is Answer.DELIVERED and not ran) or (entry.answer is Answer.REFUSED and ran):
+            disagreements += 1
+    duplicates = sum(ran - 1 for ran in partner.effects.values())
+    return {"messages": len(account.taken), "disagreements": disagreements, "duplicates": duplicates}
+
+
+async def agree_cut(folder: Path, count: int) -> dict[str, int | None]:
+    """So many work orders while the connection to a stand-in for PostgreSQL is cut at random bytes."""
+    try:
+        from loftrelay.record.postgres import PostgresStore
+    except ImportError:
+        return {"messages": 0, "cuts": None, "disagreements": 0, "duplicates": 0}
+    from tests.standins.postgres import Faults, PostgresStandIn, cut
+
+    chance, guard = random.Random(5), threading.Lock()
+
+    def draw() -> Faults:
+        with guard:
+            return cut(chance.choice(("heard", "said")), chance.randrange(10_000, 250 * count))
+
+    with PostgresStandIn(folder / "server.sqlite") as server:
+        server.drawn = draw
+        async with World(folder, policy_limits=LIMITS, extra=EXTRA) as w, Partner() as partner:
+            w.limits["disk_mb"] = 50
+            (w.folder / "record.toml").write_text(f'dsn = "{server.dsn}"\n')
+            w.arguments = ["--record", str(w.folder / "record.toml")]
+            w.list_host(1, "plain", "Ready", "{}:{}".format(*partner.address))
+            await w.start()
+            account = Account()
+
+            async def client(n: int) -> None:
+                own = Client(w, account)
+                for i in range(n, count, 16):
+                    while await own.hand_in(Order(f"o{i}", "order", 1, f"k{i}", 20.0)) == 503:
+                        await asyncio.sleep(0.02)
+                own.close()
+
+            await asyncio.gather(*(client(n) for n in range(16)))
+            server.drawn = None
+            server.cut_all()
+            async with asyncio.timeout(60):
+                while True:
+                    store = await asyncio.to_thread(PostgresStore, server.dsn)
+                    entries = await asyncio.to_thread(list, store.select(Query()))
+                    found = {entry.message: entry for entry in entries}
+                    wrong = await asyncio.to_thread(store.verify)
+                    store.close()
+                    if all(name in found and found[name].told_at is not None for name in account.taken):
+                        break
+                    await asyncio.sleep(0.1)
+            return {"cuts": server.cuts, **compare(found, wrong, partner, account)}
 
 
 async def rates(base: Path, turns: int, size: int) -> dict[str, Any]:
@@ -140,8 +196,12 @@
             ratios = [a / b for a, b in zip(figures[mode], figures["none"], strict=True)]
             result[f"{mode}_ratio"] = round(statistics.median(ratios), 3)
         result["take_p99_ms"] = round(sorted(times)[int(len(times) * 0.99)] * 1000, 1)
-        for w, _, _ in worlds.values():
-            await w.kill()
+        for mode, (w, _, account) in worlds.items():
+            await w.end(signal.SIGTERM)
+            if mode == "required":
+                told = re.search(r"(\d+) changes were stored in (\d+) commits", "\n".join(w.log))
+                assert told is not None
+                result["commits_per_message"] = round(int(told[2]) / len(account.taken), 3)
         opened = SQLiteStore(store)
         result["recorded"] = sum(1 for _ in opened.select(Query()))
         opened.close()
@@ -165,7 +225,13 @@
         base = Path(name).resolve()
         (base / "agree").mkdir()
         (base / "rates").mkdir()
-        result: dict[str, Any] = await agree(base / "agree", 800 if quick else 10_000)
+        (base / "cut").mkdir()
+        half = 300 if quick else 5_000
+        killed, cut = await agree(base / "agree", half), await agree_cut(base / "cut", half)
+        result: dict[str, Any] = {
+            name: killed[name] + (cut[name] or 0) for name in ("messages", "disagreements", "duplicates")
+        }
+        result |= {"kills": killed["kills"], "cuts": cut["cuts"]}
         result |= await rates(base / "rates", 3 if quick else 9, 600 if quick else 3000)
         result["commit_ms"] = round(commit_ms(base), 2)
     return result
--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -91,8 +91,8 @@
 def parser() -> argparse.ArgumentParser:
     about = argparse.ArgumentParser(
         prog="python -m loftrelay",
-        description="Runs one relay in the foreground, until SIGTERM. Other commands: record "
-        "(python -m loftrelay record --help).",
+        description="Runs one relay in the foreground, until SIGTERM. Other commands, each with --help: "
+        "record (reads the store of record), demo (shows a relay at work on this machine alone).",
         epilog="RELAY_CONFIG names the platform's file; RELAY_STATE the folder that lasts. RELAY_NAME, "
         "RELAY_LISTEN and RELAY_DISCOVERY go before what the file says. SIGHUP reads the file again.",
     )
@@ -113,6 +113,10 @@
         from loftrelay.commands import record as command  # a relay without a store knows no sqlite3
 
         return command.main(given[1:])
+    if given[:1] == ["demo"]:
+        from loftrelay.commands import demo
+
+        return demo.main(given[1:])
     asked = parser().parse_args(given)
     handler = logging.StreamHandler()
     handler.addFilter(Throttle())
--- a/loftrelay/commands/record.py
+++ b/loftrelay/commands/record.py
@@ -11,9 +11,12 @@
 from pathlib import Path
 from typing import Any, TextIO
 
+from loftrelay.record.opening import opener
 from loftrelay.record.rules import Answer, Entry
+from loftrelay.record.settings import load_record
 from loftrelay.record.sqlite import SQLiteStore
-from loftrelay.record.store import Query, StoreError
+from loftrelay.record.store import Query, Store, StoreError
+from loftrelay.settings.checked import SettingsError
 
 COLUMNS = ("taken on", "message", "class", "tenant", "to", "state", "answer", "attempts", "answered")
 
@@ -49,7 +52,12 @@
         description="Reads the store of record: a relay may be running beside it.",
         epilog="Status 0: done; 1: nothing found, or something is wrong in the store; 2: it can't be read.",
     )
-    about.add_argument("--store", type=Path, required=True, metavar="FILE", help="the SQLite file")
+    which = about.add_mutually_exclusive_group(required=True)
+    which.add_argument("--store", type=Path, metavar="FILE", help="the SQLite file")
+    which.add_argument(
+        "--settings", type=Path, metavar="FILE",
+        help="the relay's own settings (as deploy/record.toml): SQLite or PostgreSQL, as it says",
+    )  # fmt: skip
     commands = about.add_subparsers(dest="command", required=True)
     for name, text in (
         ("list", "a table of messages, the oldest first"),
@@ -77,18 +85,33 @@
         )
         for e in entries
     ]  # fmt: skip
-    widths = [max(map(len, column)) for column in zip(COLUMNS, *rows, strict=True)]
-    for row in (COLUMNS, *rows):
+    print_table(COLUMNS, rows, out)
+    return len(rows)
+
+
+def print_table(head: Sequence[str], rows: Sequence[Sequence[str]], out: TextIO) -> None:
+    """Columns as wide as what stands in them."""
+    widths = [max(map(len, column)) for column in zip(head, *rows, strict=True)]
+    for row in (head, *rows):
         print(
             "  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True)).rstrip(), file=out
         )
-    return len(rows)
+
+
+def open_store(asked: argparse.Namespace) -> Store:
+    """Raises StoreError or SettingsError. A file that isn't there is not made."""
+    told = load_record(asked.settings) if asked.settings is not None else None
+    file: Path | None = told.file if told is not None else asked.store
+    if file is not None and not file.exists():
+        raise StoreError(f"{file}: there is no such file")
+    if told is not None:
+        return opener(told)()
+    assert file is not None
+    return SQLiteStore(file)
 
 
 def run(asked: argparse.Namespace, out: TextIO) -> int:
-    if not asked.store.exists():
-        raise StoreError(f"{asked.store}: there is no such file")
-    store = SQLiteStore(asked.store)
+    store = open_store(asked)
     try:
         if asked.command == "verify":
             wrong = store.verify()
@@ -118,6 +141,6 @@
     asked = parser().parse_args(arguments)
     try:
         return run(asked, sys.stdout)
-    except StoreError as error:
+    except (StoreError, SettingsError) as error:
         print(f"loftrelay: {error}", file=sys.stderr)
         return 2
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -22,6 +22,7 @@
     Taken,
     Terms,
 )
+from loftrelay.core.steps import reached
 from loftrelay.net.address import Address
 from mulleinlead import interface as api
 from mulleinlead.brain import Brain
@@ -31,7 +32,10 @@
 NO_TICK = 5_000
 TAKEN, REFUSED, FAILED = 202, 503, 500
 DELIVERED = 200  # to an id that comes again: it was taken on, and has run
-LONGEST_INTENT = 0.1  # seconds for which what was decided may wait for the store of record
+# Seconds for which what was decided may wait for the store of record: whatever comes meanwhile, and while its
+# destination told of nothing but success.
+LONGEST_INTENT, LONGEST_CALM_INTENT = 0.1, 1.0
+LATE_MS = 20  # before an attempt whose intent came late is decided anew
 REFUSED_HERE_MS = 1_000  # when to come back after a refusal for want of room
 
 
@@ -50,6 +54,7 @@
         self.record = record
         self.entering: dict[str, Callable[[int, int], None]] = {}  # the store does not have them yet
         self.closing: set[str] = set()  # delivered, and the store does not have that yet
+        self.unsettled: dict[int, float] = {}  # destination -> when it last told of anything but success
         self.untold: dict[str, dict[str, Any]] = {}  # ends that the store must have before they are told
         self.brain = Brain(seed, settings)
         harmless = (api.Effect.SAFE, api.Effect.KEYED)
@@ -107,6 +112,7 @@
         except JournalFull:
             answer(REFUSED, REFUSED_HERE_MS)
             return
+        reached("journal take")
         if self.record is not None:
             self.entering[held.id] = answer
             self.record.take(held, partial(self._recorded, held))
@@ -122,6 +128,7 @@
 
     def _recorded(self, held: Held, taken: Taken) -> None:
         """What the store of record says of a message that is to be taken on."""
+        reached("recorded take")
         answer = self.entering.pop(held.id, None)
         if taken.status or taken.retry_ms:
             self.journal.over(held.id)
@@ -156,7 +163,9 @@
     def _answer_taken(self) -> None:
         for answer in self.unanswered.values():
             answer(TAKEN, 0)
-        self.unanswered.clear()
+        if self.unanswered:
+            self.unanswered.clear()
+            reached("answered taken")
 
     def withdraw(self, message: str) -> None:
         """The client went before its answer."""
@@ -249,6 +258,7 @@
         for entry in listing.entries:
             self.destinations.add(entry.destination)
             host = entry.endpoint
+            self._unsettle(entry.destination)
             if entry.state is api.State.GONE:
                 self._forget(host)
                 continue
@@ -259,6 +269,11 @@
             self.bundles[host] = (kind and kind.bundle_max) or 1
         self._post(listing)
 
+    def _unsettle(self, destination: int) -> None:
+        """What was decided for it before may hold no more: a wait, a drain, a failure."""
+        if self.record is not None:
+            self.unsettled[destination] = asyncio.get_running_loop().time()
+
     def _forget(self, host: str) -> None:
         self.delivery.forget(host)
         self.bundles.pop(host, None)
@@ -271,6 +286,8 @@
             self.journal.outcome(held, ending.result)
             if self.record is not None:
                 self.record.outcome(held.id, ending.result.name)
+        if not ending.over or ending.wait:
+            self._unsettle(held.destination)
         elapsed = self._clock() - self.sent_at.pop(held.id, self._clock())
         self._post(
             api.Outcome(
@@ -287,6 +304,7 @@
             return
         if held.notice is None:
             self.journal.end(held.id, {"status": "delivered"})
+        reached("journal end")
         self.closing.add(held.id)
         self.record.end(held.id, "delivered", "OK", partial(self._closed, held.id, remembered))
 
@@ -294,6 +312,7 @@
         assert self.record is not None
         self.closing.discard(message)
         self.journal.over(message, remembered)
+        reached("journal over")
         self.record.told(message)
 
     def doubted(self, message: str, host: str, ran_at: int) -> None:
@@ -304,6 +323,7 @@
             self._post(api.Doubted(message, host, max(0, wall_clock() - ran_at)))
 
     def noticed(self, message: str) -> None:
+        reached("told")
         held = self.journal.held.get(message)
         failed = held is not None and held.notice is not None and held.notice["status"] == "undeliverable"
         # A refusal promised that coming again does no harm: the id of one that was deferred is free again.
@@ -378,13 +398,29 @@
 
     def _intended(self, host: str, messages: list[Held], terms: Terms, began: float, committed: bool) -> None:
         """The store of record has the intent of an attempt, or not. What was decided holds no longer than a
-        moment: a drain or a wait may have been told since."""
+        moment where a drain or a wait may have been told since."""
         took = asyncio.get_running_loop().time() - began
-        if committed and took < LONGEST_INTENT and not self.stopped:
+        calm = self.unsettled.get(messages[0].destination, 0.0) < began
+        if committed and took < (LONGEST_CALM_INTENT if calm else LONGEST_INTENT) and not self.stopped:
             self.delivery.send(host, messages, replace(terms, timeout=max(0.0, terms.timeout - took)))
             return
+        again = max(LATE_MS, self.record.retry_ms if self.record is not None else 0)
         for held in messages:
-            self.ended(held, host, Ending(api.Result.NOT_SENT))
+            self._put_off(held, host, again)
+
+    def _put_off(self, held: Held, host: str, again_ms: int) -> None:
+        """An attempt was not begun for want of the store of record. It costs no try: a store that is away for
+        a moment would use up all of them."""
+        held.attempts -= 1
+        if self.record is not None:
+            self.record.outcome(held.id, api.Result.NOT_SENT.name)
+        self.sent_at.pop(held.id, None)
+        self._post(
+            api.Outcome(
+                held.id, held.attempts, host, api.Result.NOT_SENT, 0, False, 0, None, None, None, False,
+                again_ms * 1000,
+            )
+        )  # fmt: skip
 
     def _end(self, message: str, status: int, again_ms: int) -> None:
         if self.record is not None:
@@ -400,6 +436,7 @@
         if again_ms:
             notice["again_ms"] = again_ms
         self.journal.end(message, notice)
+        reached("journal notice")
         self._tell(message, notice)
 
     def _answer_end(
@@ -421,5 +458,6 @@
         self.record.end(message, answer, None, partial(self._tell_now, message))
 
     def _tell_now(self, message: str) -> None:
+        reached("tell")
         if (notice := self.untold.pop(message, None)) is not None:
             self.notices.add(message, notice)
--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -15,6 +15,7 @@
 from loftrelay.core.clock import wall_clock
 from loftrelay.core.message import Held
 from loftrelay.core.ports import Ending, JournalFull, Terms
+from loftrelay.core.steps import reached
 from loftrelay.delivery import pools
 from loftrelay.delivery.outcomes import read_batch, read_single, tells_of_others
 from loftrelay.net.address import Address
@@ -243,8 +244,10 @@
         line, loop = self.lines[number], asyncio.get_running_loop()
         for message in call.messages:
             self.tried(message, call.host)
+        reached("journal try")
         call.asked = line.asked = True
         answer = await self._request(line.connection, call, deadline - loop.time())
+        reached("heard")
         took = line.connection.heard_at - line.connection.written_at
         least = self.pools.earliest(number) if call.terms.unsafe and answer.status == 200 else 0
         if took * 1e6 < least:
--- /dev/null
+++ b/loftrelay/demo/peers.py
@@ -0,0 +1,128 @@
+"""A discovery and a partner's host, as the platform's protocol has them: enough for one relay to work."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+MOST_HEAD = 64 << 10
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    method: str
+    target: str
+    headers: dict[str, str]  # names in lower case
+    body: bytes
+
+
+async def read_request(reader: asyncio.StreamReader) -> Request | None:
+    """None at the end of the connection. Raises ValueError for what is no request."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        start, *lines = head.decode("latin-1").rstrip("\r\n").split("\r\n")
+        method, target, _ = start.split(" ")
+        headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    return Request(method, target, headers, body)
+
+
+def answer(status: int, body: bytes = b"", **headers: str) -> bytes:
+    told = "".join(f"{name.replace('_', '-')}: {value}\r\n" for name, value in headers.items())
+    return f"HTTP/1.1 {status} Demo\r\nContent-Length: {len(body)}\r\n{told}\r\n".encode() + body
+
+
+class Peer:
+    """Listens on a free port of loopback; `respond` gives each request's answer. Use as an async context."""
+
+    def __init__(self, respond: Callable[[Request], Awaitable[bytes]]) -> None:
+        self.respond = respond
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> Peer:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=MOST_HEAD)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        assert self.server is not None
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+    @property
+    def address(self) -> str:
+        assert self.server is not None
+        host, port = self.server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            while (request := await read_request(reader)) is not None:
+                writer.write(await self.respond(request))
+                await writer.drain()
+        except (ValueError, ConnectionError):
+            pass  # what can't be read is closed on
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+
+class Discovery:
+    """One list that never changes, and the notices that it was sent."""
+
+    def __init__(self) -> None:
+        self.members: list[dict[str, Any]] = []
+        self.notices: dict[str, str] = {}  # message -> status
+
+    @property
+    def whole(self) -> dict[str, Any]:
+        return {"revision": 1, "complete": True, "members": self.members}
+
+    def add(self, destination: int, address: str) -> None:
+        self.members.append(
+            {"id": f"host-{destination}", "host_port": address, "locality": "a", "flavor": "plain",
+             "cell": destination, "phase": "Ready", "size": 1.0, "up_since_ms": 0}
+        )  # fmt: skip
+
+    async def respond(self, request: Request) -> bytes:
+        if request.target == "/reports":
+            for line in request.body.splitlines():
+                notice = json.loads(line)
+                self.notices[notice["id"]] = notice["status"]
+            return answer(204)
+        if "index=" in request.target:
+            wait = int(request.target.partition("wait=")[2] or 0)
+            await asyncio.sleep(wait / 1000)  # nothing will change
+            return answer(200, json.dumps({**self.whole, "complete": False, "members": []}).encode())
+        return answer(200, json.dumps(self.whole).encode())
+
+
+class Partner:
+    """Runs what it is sent, and at times turns away or fails, by one seed. `effects` is its true account."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.effects: Counter[str] = Counter()
+        self.attempts = 0
+
+    async def respond(self, request: Request) -> bytes:
+        self.attempts += 1
+        await asyncio.sleep(self.random.uniform(0.002, 0.01))
+        chance = self.random.random()
+        if chance < 0.04:
+            return answer(429, X_Come_Back_Ms="150")  # it never ran
+        if chance < 0.06:
+            return answer(503)
+        if chance < 0.07:
+            return answer(500)  # here it did not run, but nobody could know
+        self.effects[request.headers["request-id"]] += 1
+        return answer(200)
--- a/loftrelay/record/postgres.py
+++ b/loftrelay/record/postgres.py
@@ -17,8 +17,8 @@
 import psycopg
 
 from loftrelay.record.group import Group, fold
+from loftrelay.record.rows import COLUMNS, MISCOUNTED, conditions, entry_of, miscounted, row_of, wrong_in
 from loftrelay.record.rules import Change, Entry
-from loftrelay.record.sqlite import COLUMNS, entry_of, row_of
 from loftrelay.record.store import Ambiguous, Query, StoreError, Unavailable, Unusable
 
 MIGRATIONS: tuple[tuple[str, ...], ...] = (
@@ -158,7 +158,7 @@
                     raise self._told(error, committing=True) from error
         except Raced as error:
             self._roll_back()
-            raise Unavailable(f"{error}: another instance wrote it meanwhile") from error
+            raise Unavailable(f"{error}: another instance wrote them meanwhile") from error
         except BaseException:
             if not committing:
                 self._roll_back()
@@ -172,16 +172,23 @@
             self.database.execute("ROLLBACK")
 
     def _put(self, group: Group) -> None:
+        """Each kind of row in one pipeline: as many round trips for a group as for one change."""
+        new: list[Sequence[Any]] = []
+        grown: list[Sequence[Any]] = []
         for message, after in group.after.items():
             before, row = group.before[message], row_of(after)
             if before is None:
-                done = self.database.execute(INSERT.encode(), row)
+                new.append(row)
             else:
-                done = self.database.execute(UPDATE.encode(), (*row[1:], message, before.run, before.number))
-            if done.rowcount != 1:
-                raise Raced(message)
-        for attempt in group.attempts.values():
-            self.database.execute(ATTEMPT.encode(), astuple(attempt))
+                grown.append((*row[1:], message, before.run, before.number))
+        with self.database.cursor() as cursor:
+            for text, rows in ((INSERT, new), (UPDATE, grown)):
+                if rows:
+                    cursor.executemany(text.encode(), rows)
+                    if cursor.rowcount != len(rows):
+                        raise Raced(f"{len(rows) - cursor.rowcount} of {len(rows)} rows")
+            if group.attempts:
+                cursor.executemany(ATTEMPT.encode(), [astuple(each) for each in group.attempts.values()])
 
     def _read(self, messages: Sequence[str]) -> dict[str, Entry]:
         if not messages:
@@ -196,20 +203,8 @@
             return self._read(messages)
 
     def select(self, query: Query) -> Iterator[Entry]:
-        terms, given = ["true"], list[Any]()
-        for term, value in (
-            ("class = %s", query.class_name),
-            ("tenant = %s", query.tenant),
-            ("answer = %s", query.answer.value if query.answer else None),
-            ("taken_at >= %s", query.since),
-            ("taken_at < %s", query.until),
-        ):
-            if value is not None:
-                terms.append(term)
-                given.append(value)
-        if query.unfinished:
-            terms.append("told_at IS NULL")
-        text = f"SELECT {COLUMNS} FROM messages WHERE {' AND '.join(terms)} ORDER BY taken_at, id"
+        terms, given = conditions(query, "%s")
+        text = f"SELECT {COLUMNS} FROM messages WHERE {terms} ORDER BY taken_at, id"
         if query.limit is not None:
             text += " LIMIT %s"
             given.append(query.limit)
@@ -230,13 +225,7 @@
         return len(rows)
 
     def verify(self) -> list[str]:
-        from loftrelay.record.sqlite import wrong_in
-
         said = [line for entry in self.select(Query()) for line in wrong_in(entry)]
         with self._call():
-            rows = self.database.execute(
-                "SELECT m.id, m.attempts, count(a.attempt) FROM messages m LEFT JOIN attempts a "
-                "ON a.id = m.id AND a.run = m.run GROUP BY m.id, m.attempts "
-                "HAVING count(a.attempt) <> m.attempts"
-            ).fetchall()
-        return said + [f"{name}: {told} attempts told, {kept} kept" for name, told, kept in rows]
+            rows = self.database.execute(MISCOUNTED).fetchall()
+        return said + [miscounted(*row) for row in rows]
--- a/loftrelay/record/recorder.py
+++ b/loftrelay/record/recorder.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 PRUNE_EVERY, PRUNE_ROWS = 60.0, 500  # seconds, and records deleted in one step
+SLOW_MS = 1_000  # when to come back, at the least, while the store is slow
 
 
 @dataclass(slots=True)
@@ -59,17 +60,21 @@
 
 
 class Recorder:
-    """`memory`: for how long after its end an id is answered as before (microseconds)."""
+    """`memory`: for how long after its end an id is answered as before (microseconds). `patience`: how long
+    the store may take for a message before its client is refused (seconds)."""
 
     def __init__(
-        self, writer: Writer, instance: str, modes: Mapping[str, Mode], memory: int, keep: int | None = None
-    ) -> None:
+        self, writer: Writer, instance: str, modes: Mapping[str, Mode], memory: int, keep: int | None = None,
+        patience: float = 0.5,
+    ) -> None:  # fmt: skip
         self.writer = writer
         self.instance = instance
         self.modes = modes
         self.memory = memory
         self.keep = keep
+        self.patience = patience
         self.tracks: dict[str, Track] = {}
+        self.taking: set[str] = set()  # ids of required classes of which the store has not told yet
         self.entries: dict[str, Entry] = {}  # as the store had them at the start, until they are taken up
         self.pruning = asyncio.create_task(self._prune()) if keep is not None else None
 
@@ -138,7 +143,11 @@
     # A message's life
 
     def take(self, held: Held, done: Callable[[Verdict], None]) -> None:
-        """Calls back when the store has it, or why not; at once where the class only follows."""
+        """Calls back when the store has it, or why not; at once where the class only follows. A store that is
+        slow refuses, too: what it has in the end is recorded as refused."""
+        if held.id in self.taking:
+            done(Verdict(retry_ms=max(SLOW_MS, self.writer.retry_ms)))
+            return
         track = self.tracks[held.id] = Track(self.modes.get(held.class_name, Mode.REQUIRED))
         if track.mode is Mode.FOLLOWS:
             if len(self.writer.queue) >= self.writer.most_queued:
@@ -148,7 +157,25 @@
             self._take(held, track, 1, lambda verdict: None)
             done(Verdict())
             return
-        self._take(held, track, 1, done)
+        self.taking.add(held.id)
+        late = False
+
+        def give_up() -> None:
+            nonlocal late
+            late = True
+            done(Verdict(retry_ms=max(SLOW_MS, self.writer.retry_ms)))
+
+        def settle(verdict: Verdict) -> None:
+            self.taking.discard(held.id)
+            clock.cancel()
+            if not late:
+                done(verdict)
+            elif verdict.known is Known.NEW and not verdict.retry_ms:
+                # Its client was refused meanwhile, and may come again with it.
+                self.end(held.id, Answer.REFUSED.value, None, partial(self.told, held.id))
+
+        clock = asyncio.get_running_loop().call_later(self.patience, give_up)
+        self._take(held, track, 1, settle)
 
     def _take(
         self, held: Held, track: Track, run: int, done: Callable[[Verdict], None], optional: bool = True
--- a/loftrelay/record/settings.py
+++ b/loftrelay/record/settings.py
@@ -25,6 +25,14 @@
     Key("busy_ms", 2000, "ms", "to wait for another process that writes", most=60_000),
     Key("unsafe", "required", "", "how classes that must not run twice are recorded", words=MODES),
     Key("repeatable", "follows", "", "how the others are", words=MODES),
+    Key(
+        "take_ms",
+        500,
+        "ms",
+        "for the store to have a message of a required class; then it is refused",
+        least=10,
+        most=60_000,
+    ),
     Key("most_queued", 10_000, "changes", "waiting to be written, before messages are refused", least=1),
     Key("most_in_commit", 500, "changes", "written in one commit", least=1, most=100_000),
     Key("memory_s", 3600.0, "s", "for which an id that comes again is answered as before", most=365 * DAY),
@@ -43,6 +51,7 @@
     busy_ms: int
     unsafe: Mode
     repeatable: Mode
+    patience: float  # seconds
     most_queued: int
     most_in_commit: int
     memory: int
@@ -64,6 +73,7 @@
         busy_ms=told["busy_ms"],
         unsafe=Mode(told["unsafe"]),
         repeatable=Mode(told["repeatable"]),
+        patience=told["take_ms"] / 1000,
         most_queued=told["most_queued"],
         most_in_commit=told["most_in_commit"],
         memory=round(told["memory_s"] * 1_000_000),
--- a/loftrelay/record/sqlite.py
+++ b/loftrelay/record/sqlite.py
@@ -13,7 +13,8 @@
 from pathlib import Path
 
 from loftrelay.record.group import fold
-from loftrelay.record.rules import About, Answer, Change, Entry, State
+from loftrelay.record.rows import COLUMNS, MISCOUNTED, conditions, entry_of, miscounted, row_of, wrong_in
+from loftrelay.record.rules import Change, Entry
 from loftrelay.record.store import Ambiguous, Query, Unavailable, Unusable
 
 MIGRATIONS = (
@@ -38,10 +39,6 @@
     """,
 )
 VERSION = len(MIGRATIONS)
-COLUMNS = (
-    "id, run, number, state, instance, class, tenant, destination, key, sha256, deadline, taken_at, "
-    "attempts, host, intended_at, result, result_at, answer, answered_at, told_at"
-)
 PUT = f"INSERT OR REPLACE INTO messages ({COLUMNS}) VALUES ({', '.join('?' * 20)})"
 TRANSIENT = (
     sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR,
@@ -49,28 +46,6 @@
 )  # fmt: skip
 
 
-def row_of(entry: Entry) -> tuple[object, ...]:
-    about = entry.about
-    return (
-        entry.message, entry.run, entry.number, entry.state.value, about.instance, about.class_name,
-        about.tenant, about.destination, about.key, about.sha256, about.deadline, entry.taken_at,
-        entry.attempts, entry.host, entry.intended_at, entry.result, entry.result_at,
-        entry.answer.value if entry.answer else None, entry.answered_at, entry.told_at,
-    )  # fmt: skip
-
-
-def entry_of(row: Sequence[object]) -> Entry:
-    (
-        message, run, number, state, instance, class_name, tenant, destination, key, sha256, deadline,
-        taken_at, attempts, host, intended_at, result, result_at, answer, answered_at, told_at,
-    ) = row  # fmt: skip
-    about = About(instance, class_name, tenant, destination, key, deadline, sha256)  # type: ignore[arg-type]
-    return Entry(
-        message, run, about, number, State(state), taken_at, attempts, host, intended_at, result, result_at,  # type: ignore[arg-type]
-        Answer(answer) if answer else None, answered_at, told_at,  # type: ignore[arg-type]
-    )  # fmt: skip
-
-
 class SQLiteStore:
     """One file. Opened and used by one thread; other processes may read and write it, too."""
 
@@ -162,20 +137,8 @@
         return {entry.message: entry for entry in found if entry is not None}
 
     def select(self, query: Query) -> Iterator[Entry]:
-        terms, given = ["1"], []
-        for term, value in (
-            ("class = ?", query.class_name),
-            ("tenant = ?", query.tenant),
-            ("answer = ?", query.answer.value if query.answer else None),
-            ("taken_at >= ?", query.since),
-            ("taken_at < ?", query.until),
-        ):
-            if value is not None:
-                terms.append(term)
-                given.append(value)
-        if query.unfinished:
-            terms.append("told_at IS NULL")
-        text = f"SELECT {COLUMNS} FROM messages WHERE {' AND '.join(terms)} ORDER BY taken_at, id LIMIT ?"
+        terms, given = conditions(query, "?")
+        text = f"SELECT {COLUMNS} FROM messages WHERE {terms} ORDER BY taken_at, id LIMIT ?"
         try:
             for row in self.database.execute(text, (*given, -1 if query.limit is None else query.limit)):
                 yield entry_of(row)
@@ -201,26 +164,7 @@
             said = [row[0] for row in self.database.execute("PRAGMA integrity_check") if row[0] != "ok"]
             for entry in self.select(Query()):
                 said += wrong_in(entry)
-            rows = self.database.execute(
-                "SELECT m.id, m.attempts, count(a.attempt) FROM messages m LEFT JOIN attempts a "
-                "ON a.id = m.id AND a.run = m.run GROUP BY m.id HAVING count(a.attempt) <> m.attempts"
-            )
-            said += [f"{name}: {told} attempts told, {kept} kept" for name, told, kept in rows]
+            said += [miscounted(*row) for row in self.database.execute(MISCOUNTED)]
         except (sqlite3.Error, ValueError) as error:
             return [str(error)]
         return said
-
-
-def wrong_in(entry: Entry) -> list[str]:
-    """What contradicts itself in a record."""
-    said = []
-    ended = entry.state in (State.ENDED, State.TOLD)
-    if ended != (entry.answer is not None) or ended != (entry.answered_at is not None):
-        said.append(
-            f"{entry.message}: {entry.state.value}, with answer {entry.answer and entry.answer.value}"
-        )
-    if (entry.state is State.TOLD) != (entry.told_at is not None):
-        said.append(f"{entry.message}: {entry.state.value}, with told_at {entry.told_at}")
-    if entry.answer is Answer.DELIVERED and not entry.attempts:
-        said.append(f"{entry.message}: delivered without an attempt")
-    return said
--- a/loftrelay/record/writer.py
+++ b/loftrelay/record/writer.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
+from loftrelay.core import steps
 from loftrelay.record import rules
 from loftrelay.record.rules import Change, Entry, Found, RuleBroken
 from loftrelay.record.store import Ambiguous, Store, StoreError, Unusable
@@ -112,7 +113,16 @@
             self.store = None
 
     def _commit(self, changes: Sequence[Change]) -> dict[int, Entry]:
-        return self._opened().commit(changes)
+        store = self._opened()
+        self._reached("commit", changes)
+        kept = store.commit(changes)
+        self._reached("committed", changes)
+        return kept
+
+    def _reached(self, side: str, changes: Sequence[Change]) -> None:
+        if steps.listener is not None:
+            for change in changes:
+                steps.reached(f"{side} {change.kind.value}")
 
     def _read_back(self, changes: Sequence[Change]) -> list[Found]:
         seen = self._opened().read(list({change.message for change in changes}))
@@ -136,6 +146,8 @@
                 await asyncio.sleep(self.pause)
                 self.pause = min(2 * self.pause, PAUSES[1])
         await asyncio.get_running_loop().run_in_executor(self.thread, self._shut)
+        if self.commits:
+            log.info("%d changes were stored in %d commits", self.changes, self.commits)
         for item in self.queue:
             if not item.done.done():
                 item.done.set_exception(Away(self.retry_ms))
@@ -151,6 +163,8 @@
         except Ambiguous as error:
             log.warning("a commit's outcome is not known, it is read back: %s", error)
             self._gone_away(error)  # the next try applies only what is missing: each change is numbered
+            for item in group:
+                item.optional = False  # it may be stored: given up now, its record would stand for nobody
             await loop.run_in_executor(self.thread, self._shut)
             return False
         except StoreError as error:
--- a/loftrelay/recording.py
+++ b/loftrelay/recording.py
@@ -4,15 +4,14 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
-from functools import partial
 
 from loftrelay.config import Config
 from loftrelay.journal.journal import Journal
+from loftrelay.record.opening import opener
 from loftrelay.record.recorder import Recorder
 from loftrelay.record.rules import Mode
 from loftrelay.record.settings import RecordSettings
-from loftrelay.record.store import Store, Unavailable, Unusable
+from loftrelay.record.store import Unavailable
 from loftrelay.record.writer import Writer
 from mulleinlead.interface import Effect
 
@@ -30,23 +29,10 @@
     }
 
 
-def opener(told: RecordSettings) -> Callable[[], Store]:
-    """What opens the store, in the writer's thread. Libraries are imported only for the one that is used."""
-    if told.file is not None:
-        from loftrelay.record.sqlite import SQLiteStore
-
-        return partial(SQLiteStore, told.file, told.busy_ms, told.synchronous)
-    try:
-        from loftrelay.record.postgres import PostgresStore
-    except ImportError as error:
-        raise Unusable(f"a PostgreSQL store needs the extra loftrelay[postgres]: {error}") from error
-    return partial(PostgresStore, told.dsn, told.call_seconds)
-
-
 async def open_record(config: Config, told: RecordSettings, journal: Journal) -> Recorder:
     """The store of record, read. Waits for one that is away, and raises Unusable for one that stays so."""
     writer = Writer(opener(told), told.most_queued, told.most_in_commit)
-    recorder = Recorder(writer, config.name, modes(config, told), told.memory, told.keep)
+    recorder = Recorder(writer, config.name, modes(config, told), told.memory, told.keep, told.patience)
     while True:
         try:
             await recorder.load(list(journal.held))
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -845,11 +845,13 @@
 
     def _retry_later(self, message: Message, event: api.Outcome) -> None:
         """The design's wait: base times two to the depth; give up at the cap or when time runs short."""
+        if event.postponed:
+            message.depth -= 1
         wait = 0 if event.result is Result.NOT_SENT else max(self._backoff(message.depth - 1), event.wait)
         siblings = (e for e in message.destination.endpoints if e.failures == 0 and e.state is State.LISTED)
         if event.result is Result.NO_CONNECTION and any(siblings):
             wait = 0  # trouble: endpoints gone before the list says so; a sibling takes it at once
-        message.not_before = self.now + wait
+        message.not_before = self.now + max(wait, event.postponed)
         self._hold_or_end(message)
 
     def _hold_or_end(self, message: Message) -> None:
--- a/mulleinlead/interface.py
+++ b/mulleinlead/interface.py
@@ -190,6 +190,7 @@
     room: float | None  # report: share of that limit left
     idle: int | None = None  # how long its connection had stood idle; 0: a new one; None: not told
     expired: bool = False  # the destination holds that the message's time is up: it takes it no more
+    postponed: int = 0  # not begun, for a reason of this relay's own: it costs no try, and waits so long
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/commands/test_demo.py
@@ -0,0 +1,83 @@
+"""The command `demo`: a relay at work on this machine alone, and what it compares."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from loftrelay.commands.demo import Result, main
+from loftrelay.record.rules import Answer, Entry, apply
+from tests.record.test_sqlite import life
+from tests.standins.platform import ROOT
+
+LAST = re.compile(r"taken (\d+) delivered (\d+) refused (\d+) failed (\d+) duplicates (\d+)")
+
+
+def demo(*arguments: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-m", "loftrelay", "demo", *arguments]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=120)
+
+
+@pytest.mark.parametrize("kill", [False, True])
+def test_it_ends_with_the_table_and_the_line(tmp_path: Path, kill: bool) -> None:
+    folder = tmp_path / "d"
+    done = demo("--folder", str(folder), "--messages", "150", *(["--kill"] if kill else []))
+    assert done.returncode == 0, done.stdout + done.stderr
+    lines = done.stdout.splitlines()
+    found = LAST.fullmatch(lines[-1])
+    assert found is not None
+    taken, delivered, refused, failed, duplicates = map(int, found.groups())
+    assert taken == 150 and duplicates == 0 and taken == delivered + refused + failed
+    assert delivered > 100 and str(folder) in lines[0]
+    assert [line.split()[0] for line in lines[-3:-1]] == ["order", "status"]
+    listed = subprocess.run(
+        [sys.executable, "-m", "loftrelay", "record", "--settings", str(folder / "record.toml"), "list"],
+        cwd=ROOT, capture_output=True, text=True,
+    )  # fmt: skip
+    assert len(listed.stdout.splitlines()) == 151
+
+
+def test_what_it_can_not_do_is_said_in_one_line(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "there").write_text("")
+    for arguments, says in (
+        (["--folder", str(tmp_path)], "is not empty"),
+        (["--folder", str(tmp_path / "new"), "--messages", "0"], "--messages 0: at least 1"),
+        (["--folder", str(tmp_path / "there" / "in")], "there"),
+    ):
+        assert main(arguments) == 2
+        said = capsys.readouterr().err
+        assert says in said and said.count("\n") == 1
+
+
+def entry(name: str, answer: Answer = Answer.DELIVERED) -> Entry:
+    found: Entry | None = None
+    for change in life(name, end=answer):
+        found = apply(found, change)
+    assert found is not None
+    return found
+
+
+def test_each_disagreement_is_found() -> None:
+    sound = Result([entry("a")], {"a"}, Counter("a"), {}, [])
+    assert sound.disagreements() == [] and sound.duplicates == 0
+    assert replace(sound, effects=Counter("aa")).duplicates == 1
+    for result, says in (
+        (replace(sound, taken={"a", "b"}), "b: taken on, and not in the store"),
+        (replace(sound, effects=Counter("ab")), "b: ran, and not in the store"),
+        (replace(sound, effects=Counter()), "a: delivered, ran 0 times"),
+        (replace(sound, entries=[replace(entry("a"), told_at=None)]), "a: its end is not told"),
+        (replace(sound, entries=[entry("a", Answer.REFUSED)]), "a: refused, ran 1 times"),
+        (replace(sound, wrong=["torn"]), "torn"),
+    ):
+        assert result.disagreements() == [says]
+
+
+def test_help() -> None:
+    done = demo("--help")
+    assert done.returncode == 0 and done.stdout.startswith("usage: python -m loftrelay demo")
--- a/tests/mulleinlead/test_rules.py
+++ b/tests/mulleinlead/test_rules.py
@@ -441,3 +441,18 @@
     assert ends(d.feed(event, after=MS)) == [(api.Fail, "m1")]
     assert not sends(d.run(100 * MS))
     assert sends(d.feed(api.Noticed("m1"))) == ["m2"]
+
+
+def test_an_attempt_that_the_relay_itself_put_off_costs_no_try_and_waits() -> None:
+    """A store of record that is away for a moment would use up all tries in as many turns."""
+    d = Driver(entry("a"), max_attempts=2)
+    d.warm()
+    d.submit("m", "unsafe")
+    for _ in range(5):
+        outcome = replace(d.outcome_event("m", api.Result.NOT_SENT), postponed=S // 10)
+        assert not sends(d.feed(outcome)) and not ends(d.log)
+        d.run(S // 20)
+        assert d.brain.messages["m"].call is None
+        d.run(S // 10)
+        assert d.brain.messages["m"].call is not None
+    assert d.brain.messages["m"].depth == 1
--- /dev/null
+++ b/tests/program/test_fault_points.py
@@ -0,0 +1,105 @@
+"""The relay killed at each named step between taking a message on and its recorded answer, one by one.
+
+Whatever the step: the partner runs it once at the most, the store's answer is true, and a client that was
+told 202 has an end. A client that heard nothing comes again under the same id: that makes no second effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from pathlib import Path
+
+import pytest
+
+from loftrelay.core.steps import NOTICE_STEPS, STEPS
+from loftrelay.record.rules import Answer, State
+from tests.program.test_record import entries, until, with_store
+from tests.standins.platform import HANG, SETTINGS, Request, World, reply, run
+
+LIMITS = {**SETTINGS["policy_limits"], "most_tries": 1}
+# Host's answer, the message's end, and the steps on the way there.
+COMMON = [step for step in STEPS if step not in ("journal end", "journal over")]
+WAYS = [
+    *((200, step) for step in STEPS),
+    *((500, step) for step in (*COMMON, *NOTICE_STEPS)),
+    *((503, step) for step in NOTICE_STEPS),
+]
+
+
+@pytest.mark.parametrize(("status", "step"), WAYS, ids=lambda value: str(value).replace(" ", "-"))
+def test_killed_at_a_step(tmp_path: Path, status: int, step: str) -> None:
+    async def scenario(w: World) -> None:
+        ran: list[str] = []
+
+        async def script(request: Request) -> bytes | None:
+            if status != 503:
+                ran.append(request.id)
+            return reply(status)
+
+        path = with_store(w, busy_ms="2000")
+        host = await w.host(script)
+        plain = w.program
+        w.program = ["-m", "tests.standins.killed", step]
+        await w.start()
+        heard: int | None = None
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            heard = await w.hand_in("m", "order")
+        assert w.process is not None
+        async with asyncio.timeout(HANG):
+            assert await w.process.wait() == -9  # the step was reached
+        asked = len(host.ids)
+        w.program = plain
+        await w.start()
+        if heard is None:
+            heard = await w.hand_in("m", "order")  # as a client does that heard nothing
+        assert heard in (200, 202, 500, 503)
+        if heard in (202, 200):
+            found = await until(path, ["m"], State.TOLD)
+            ends = {"delivered": [], "failed": ["undeliverable"], "refused": ["deferred"]}
+            answer = found["m"].answer
+            assert answer is not None
+            if heard == 202:
+                assert {notice["status"] for notice in w.notices} == set(ends[answer.value])
+            if answer is Answer.DELIVERED:
+                assert status == 200 and ran == ["m"]
+            if answer is Answer.REFUSED:
+                assert not ran
+        assert ran in ([], ["m"])
+        if status != 503:
+            assert len(host.ids) <= 1 and (asked == 0 or len(host.ids) == asked)
+
+    run(scenario, tmp_path, policy_limits=LIMITS)
+
+
+def test_every_step_is_tried() -> None:
+    assert {step for _, step in WAYS} == {*STEPS, *NOTICE_STEPS}
+
+
+def test_the_order_of_a_life_is_the_order_of_the_steps(tmp_path: Path) -> None:
+    """A step that a message passes twice, or never, would make its kill mean something else."""
+
+    async def scenario(w: World) -> None:
+        async def script(request: Request) -> bytes | None:
+            return reply(200)
+
+        path = with_store(w)
+        await w.host(script)
+        w.program = ["-c", TRACED]
+        await w.start()
+        assert await w.hand_in("m", "order") == 202
+        await until(path, ["m"], State.TOLD)
+        await w.until(lambda: "step committed told" in w.log)
+        assert [line[5:] for line in w.log if line.startswith("step ")] == list(STEPS)
+        assert entries(path)["m"].answer is Answer.DELIVERED
+
+    run(scenario, tmp_path)
+
+
+TRACED = """
+import sys
+from loftrelay.__main__ import main
+from loftrelay.core import steps
+steps.listener = lambda step: print("step", step, file=sys.stderr, flush=True)
+sys.exit(main(sys.argv[1:]))
+"""
--- /dev/null
+++ b/tests/program/test_record_postgres.py
@@ -0,0 +1,180 @@
+"""A relay with its record in PostgreSQL (the stand-in), through real sockets: cut, slow, away and back."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+psycopg = pytest.importorskip("psycopg", reason="the extra `postgres` is not installed")
+
+from loftrelay.record.postgres import PostgresStore  # noqa: E402
+from loftrelay.record.rules import Answer, Entry, State  # noqa: E402
+from loftrelay.record.store import Query  # noqa: E402
+from tests.program.test_connections import LIMITS  # noqa: E402
+from tests.standins.partner import Partner  # noqa: E402
+from tests.standins.platform import HANG, SETTINGS, World, deliver, message, run  # noqa: E402
+from tests.standins.postgres import Faults, PostgresStandIn, cut  # noqa: E402
+from tests.standins.traffic import Account, Client, Order  # noqa: E402
+
+ORDERS, CLIENTS = 10_000, 32
+FULL = SETTINGS["policy_limits"]["most_held"]
+
+
+@pytest.fixture
+def server(tmp_path: Path) -> Iterator[PostgresStandIn]:
+    with PostgresStandIn(tmp_path / "server.sqlite", password="harbour") as server:
+        yield server
+
+
+def with_server(w: World, server: PostgresStandIn) -> None:
+    (w.folder / "record.toml").write_text(f'dsn = "{server.dsn}"\ncall_s = 20.0\n')
+    w.arguments = ["--record", str(w.folder / "record.toml")]
+
+
+def entries(server: PostgresStandIn) -> dict[str, Entry]:
+    store = PostgresStore(server.dsn)
+    try:
+        assert not store.verify()
+        return {entry.message: entry for entry in store.select(Query())}
+    finally:
+        store.close()
+
+
+async def all_told(server: PostgresStandIn, names: set[str]) -> dict[str, Entry]:
+    async with asyncio.timeout(HANG):
+        while True:
+            found = await asyncio.to_thread(entries, server)
+            if all(name in found and found[name].state is State.TOLD for name in names):
+                return found
+            await asyncio.sleep(0.05)
+
+
+async def until_taken(client: Client, order: Order) -> None:
+    while await client.hand_in(order) == 503:
+        await asyncio.sleep(0.02)
+
+
+def test_ten_thousand_orders_while_the_connection_is_cut_at_random(
+    tmp_path: Path, server: PostgresStandIn
+) -> None:
+    """Store and partner agree on every one; nothing ran twice, nothing is claimed that was not recorded."""
+    chance, guard = random.Random(3), threading.Lock()
+
+    def draw() -> Faults:
+        with guard:
+            side = chance.choice(("heard", "said"))
+            return cut(side, chance.randrange(50_000, 2_000_000))
+
+    async def scenario(w: World) -> None:
+        w.limits["disk_mb"] = 50
+        with_server(w, server)
+        async with Partner() as partner:
+            w.list_host(1, "plain", "Ready", "{}:{}".format(*partner.address))
+            server.drawn = draw
+            await w.start()
+            account = Account()
+
+            async def client(n: int) -> None:
+                own = Client(w, account)
+                for i in range(n, ORDERS, CLIENTS):
+                    await until_taken(own, Order(f"o{i}", "order", 1, f"k{i}", 20.0))
+                own.close()
+
+            await asyncio.gather(*(client(n) for n in range(CLIENTS)))
+            server.drawn = None
+            server.cut_all()
+            found = await all_told(server, set(account.taken))
+            assert server.cuts >= 10 and len(found) == ORDERS
+            assert max(partner.effects.values()) == 1
+            told = {notice["id"]: notice["status"] for notice in w.notices}
+            ends = {Answer.FAILED: "undeliverable", Answer.REFUSED: "deferred"}
+            for name, entry in found.items():
+                assert (entry.answer is Answer.DELIVERED) == (partner.effects[name] == 1), name
+                if entry.answer is not Answer.DELIVERED and name in account.taken:
+                    assert entry.answer is not None and told[name] == ends[entry.answer]
+            assert set(partner.effects) <= set(found)
+            assert len(partner.effects) > 0.99 * ORDERS
+
+    run(scenario, tmp_path, policy_limits=LIMITS, extra={**SETTINGS["extra"], "call_slots": 64})
+
+
+def resident(pid: int) -> int:
+    """Bytes of memory (proc(5), VmRSS)."""
+    text = Path(f"/proc/{pid}/status").read_text()
+    return int(text.partition("VmRSS:")[2].split()[0]) * 1024
+
+
+def test_more_than_full_load_while_the_store_is_slow_then_away_then_back(
+    tmp_path: Path, server: PostgresStandIn
+) -> None:
+    """130% of what may be held: orders are refused at once with when to come back, status updates go on,
+    memory is bounded, and each that comes again when the store is back runs once."""
+    names = [f"o{i}" for i in range(int(1.3 * FULL))]
+
+    async def scenario(w: World) -> None:
+        with_server(w, server)
+        host = await w.host(deliver)
+        await w.start()
+        await w.warm(host)
+        assert w.process is not None
+
+        async def refused(rounds: int) -> None:
+            for _ in range(rounds):
+                answers = await asyncio.gather(
+                    *(w.ask(message(name, "order", path=f"/order/{name}")) for name in names)
+                )
+                assert {status for status, *_ in answers} == {503}
+                assert all(float(headers["retry-after"]) > 0 for _, headers, _ in answers)
+
+        server.gate.clear()
+        await refused(1)
+        before = resident(w.process.pid)
+        await refused(3)
+        assert await w.hand_in("during") == 202  # the journal answers for it
+        await w.until(lambda: "during" in host.ids)
+        server.faults.refuse = "57P03"  # the database system is starting up
+        server.cut_all()
+        server.gate.set()
+        await w.until(lambda: any("store of record is away" in line for line in w.log))
+        await refused(20)
+        assert not any(name in host.ids for name in names)
+        assert resident(w.process.pid) - before < 16 << 20
+        server.faults.refuse = None
+
+        async def again(name: str) -> None:
+            while await w.hand_in(name, "order", path=f"/order/{name}") == 503:
+                await asyncio.sleep(0.02)
+
+        await asyncio.gather(*(again(name) for name in names))
+        found = await all_told(server, {*names, "during"})
+        assert sorted(i for i in host.ids if i in names) == sorted(names)
+        assert all(found[name].answer is Answer.DELIVERED for name in names)
+
+    run(scenario, tmp_path)
+
+
+def test_two_relays_share_a_server_and_one_id_runs_once(tmp_path: Path, server: PostgresStandIn) -> None:
+    async def scenario(w: World) -> None:
+        with_server(w, server)
+        host = await w.host(deliver)
+        await w.start()
+        (tmp_path / "other").mkdir()
+        async with World(tmp_path / "other") as other:
+            other.arguments, other.members, other.name_ = w.arguments, w.members, "n2"
+            await other.start()
+            names = [f"m{i}" for i in range(30)]
+            for name in names:
+                raw = message(name, "order", path=f"/order/{name}")
+                (a, *_), (b, *_) = await asyncio.gather(w.ask(raw), other.ask(raw))
+                assert {a, b} <= {200, 202, 503}
+                while a == b == 503:  # both lost the race of one row
+                    (a, *_) = await w.ask(raw)
+            await all_told(server, set(names))
+        assert sorted(host.ids) == sorted(names)
+
+    run(scenario, tmp_path)
--- /dev/null
+++ b/tests/record/test_recorder.py
@@ -0,0 +1,162 @@
+"""The recorder: a store that is slow, ids that come again, clocks that step back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from loftrelay.core.message import Held
+from loftrelay.record import recorder as module
+from loftrelay.record.recorder import Recorder, Verdict
+from loftrelay.record.rules import Answer, Entry, Known, Mode, State
+from loftrelay.record.store import Query
+from loftrelay.record.writer import Writer
+from tests.record.test_writer import Faulty
+
+HOUR = 3_600_000_000
+AT = 1_800_000_000_000_000
+
+
+class Clock:
+    """In place of the wall clock."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.now = AT
+        monkeypatch.setattr(module, "wall_clock", lambda: self.now)
+
+    def held(self, name: str, class_name: str = "order") -> Held:
+        return Held(name, 0, class_name, "acme", 1, None, self.now, self.now + 9_000_000)
+
+
+def run(folder: Path, scenario: Callable[[Faulty, Recorder], Awaitable[None]], patience: float = 0.5) -> None:
+    async def main() -> None:
+        store = Faulty(folder / "r.sqlite")
+        modes = {"order": Mode.REQUIRED, "status": Mode.FOLLOWS}
+        recorder = Recorder(Writer(store.open), "n1", modes, HOUR, patience=patience)
+        await scenario(store, recorder)
+        store.gate.set()
+        await recorder.close()
+
+    asyncio.run(main())
+
+
+async def take(recorder: Recorder, held: Held) -> Verdict:
+    told: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+    recorder.take(held, told.set_result)
+    return await told
+
+
+async def live(recorder: Recorder, held: Held, answer: Answer = Answer.DELIVERED) -> None:
+    """One attempt, and its end, told."""
+    loop = asyncio.get_running_loop()
+    went: asyncio.Future[bool] = loop.create_future()
+    recorder.intend([held], "h1", went.set_result)
+    assert await went
+    ended: asyncio.Future[None] = loop.create_future()
+    recorder.end(held.id, answer.value, "OK", lambda: ended.set_result(None))
+    await ended
+    recorder.told(held.id)
+
+
+async def stored(recorder: Recorder) -> dict[str, Entry]:
+    return await recorder.writer.call(lambda store: {e.message: e for e in store.select(Query())})
+
+
+def test_a_slow_store_refuses_and_what_it_has_in_the_end_is_recorded_as_refused(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock(monkeypatch)
+
+    async def scenario(store: Faulty, recorder: Recorder) -> None:
+        store.gate.clear()
+        first = await take(recorder, clock.held("m"))
+        assert first.retry_ms >= 1000
+        again = await take(recorder, clock.held("m"))  # nobody knows yet whether the store will have it
+        assert again.retry_ms >= 1000
+        assert (await take(recorder, clock.held("follows", "status"))).known is Known.NEW
+        store.gate.set()
+        async with asyncio.timeout(60):
+            while recorder.taking:
+                await asyncio.sleep(0)
+            while (entry := (await stored(recorder))["m"]).state is not State.TOLD:
+                pass
+        assert (entry.answer, entry.attempts) == (Answer.REFUSED, 0)
+        recorder.patience = 60
+        clock.now += 1_000_000
+        verdict = await take(recorder, clock.held("m"))
+        assert verdict.known is Known.NEW and not verdict.retry_ms
+        assert (await stored(recorder))["m"].run == 2
+
+    run(tmp_path, scenario, patience=0.01)
+
+
+def test_a_slow_store_that_has_the_id_already_changes_nothing_of_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock(monkeypatch)
+
+    async def scenario(store: Faulty, recorder: Recorder) -> None:
+        recorder.patience = 60
+        held = clock.held("m")
+        assert (await take(recorder, held)).known is Known.NEW
+        await live(recorder, held)
+        await stored(recorder)
+        recorder.patience = 0.01
+        store.gate.clear()
+        assert (await take(recorder, clock.held("m"))).retry_ms
+        store.gate.set()
+        async with asyncio.timeout(60):
+            while recorder.taking:
+                await asyncio.sleep(0)
+        entry = (await stored(recorder))["m"]
+        assert (entry.run, entry.answer) == (1, Answer.DELIVERED)
+
+    run(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("step", [-HOUR, -1, HOUR // 2], ids=["hour back", "tick back", "half an hour on"])
+def test_a_clock_that_steps_neither_forgets_an_id_early_nor_spoils_a_record(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, step: int
+) -> None:
+    clock = Clock(monkeypatch)
+
+    async def scenario(store: Faulty, recorder: Recorder) -> None:
+        held = clock.held("m")
+        assert (await take(recorder, held)).known is Known.NEW
+        clock.now += step
+        await live(recorder, held)
+        other = Recorder(recorder.writer, "n2", recorder.modes, HOUR)  # whose clock is right
+        for now in (AT + step, AT):
+            clock.now = now
+            assert (await take(other, clock.held("m"))).known is Known.DELIVERED
+        assert (await take(other, clock.held("new"))).known is Known.NEW
+        assert not await recorder.writer.call(lambda store: store.verify())
+        assert (await recorder.writer.call(lambda store: store.prune(AT - 2 * HOUR, 9))) == 0
+
+    run(tmp_path, scenario)
+
+
+def test_a_clock_that_steps_back_keeps_two_runs_of_an_id_apart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The second taking on has an earlier time than the first one's end."""
+    clock = Clock(monkeypatch)
+
+    async def scenario(store: Faulty, recorder: Recorder) -> None:
+        held = clock.held("m")
+        await take(recorder, held)
+        await live(recorder, held, Answer.REFUSED)
+        clock.now -= 2 * HOUR
+        again = clock.held("m")
+        assert (await take(recorder, again)).known is Known.NEW
+        assert (await take(Recorder(recorder.writer, "n2", recorder.modes, HOUR), clock.held("m"))).known is (
+            Known.IN_PROGRESS
+        )
+        await live(recorder, again)
+        entry = (await stored(recorder))["m"]
+        assert (entry.run, entry.answer, entry.attempts) == (2, Answer.DELIVERED, 1)
+
+    run(tmp_path, scenario)
--- a/tests/record/test_writer.py
+++ b/tests/record/test_writer.py
@@ -123,6 +123,18 @@
     run(tmp_path, scenario)
 
 
+def test_what_may_be_stored_is_not_given_up_when_the_store_then_stays_away(tmp_path: Path) -> None:
+    """Its record would stand as taken on for good, and the id be held to be in progress."""
+
+    async def scenario(store: Faulty, writer: Writer) -> None:
+        store.faults = ["cut after", "away", "away"]
+        write = writer.write(life("m")[0], optional=True)
+        await write
+        assert not store.faults and set(await writer.call(lambda s: s.read(["m"]))) == {"m"}
+
+    run(tmp_path, scenario)
+
+
 def test_an_id_that_another_has_is_told_so_and_the_rest_of_its_group_is_stored(tmp_path: Path) -> None:
     async def scenario(store: Faulty, writer: Writer) -> None:
         await asyncio.gather(*(writer.write(change) for change in life("m", instance="n2")))
--- /dev/null
+++ b/tests/standins/killed.py
@@ -0,0 +1,28 @@
+"""python -m tests.standins.killed STEP ARGUMENTS...: a relay that ends by SIGKILL where it first reaches the
+named step (loftrelay.core.steps)."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+
+from loftrelay.__main__ import main
+from loftrelay.core import steps
+
+
+def kill_at(step: str) -> None:
+    """Raises SystemExit for a step that isn't there: nothing would ever be killed."""
+    if step not in steps.STEPS + steps.NOTICE_STEPS:
+        raise SystemExit(f"there is no step {step!r}")
+
+    def listen(reached: str) -> None:
+        if reached == step:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    steps.listener = listen
+
+
+if __name__ == "__main__":
+    kill_at(sys.argv[1])
+    sys.exit(main(sys.argv[2:]))
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -145,6 +145,7 @@
         self.list_answer: Script | None = None
         self.log: list[str] = []
         self.root = ROOT  # where the program is that is started, and what it is told on its command line
+        self.program = ["-m", "loftrelay"]
         self.arguments: list[str] = []
         self.name_ = "n1"
         self.noticed_at: dict[str, float] = {}  # message -> when its notice came (Unix time)
@@ -242,7 +243,7 @@
     async def start(self) -> None:
         path = self.configure(self.discovery.address)
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "loftrelay", *self.arguments, cwd=self.root, stderr=asyncio.subprocess.PIPE,
+            sys.executable, *self.program, *self.arguments, cwd=self.root, stderr=asyncio.subprocess.PIPE,
             env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_STATE": str(self.folder / "state")},
         )  # fmt: skip
         self.log.clear()
--- a/tests/standins/postgres.py
+++ b/tests/standins/postgres.py
@@ -18,7 +18,7 @@
 import sqlite3
 import struct
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -29,7 +29,7 @@
 
 @dataclass
 class Faults:
-    """What goes wrong, for connections accepted from now on. Bytes are counted in each connection."""
+    """What goes wrong. Bytes are counted in each connection."""
 
     cut_heard: int | None = None  # after so many bytes from the client, the connection ends
     cut_said: int | None = None  # after so many bytes to the client
@@ -38,6 +38,11 @@
     refuse: str | None = None  # SQLSTATE in place of a start-up
 
 
+def cut(side: str, after: int) -> Faults:
+    """The end of a connection once so many bytes were heard, or said."""
+    return Faults(cut_heard=after) if side == "heard" else Faults(cut_said=after)
+
+
 class Cut(Exception):
     pass
 
@@ -48,23 +53,30 @@
     def __init__(self, sock: socket.socket, faults: Faults) -> None:
         self.sock, self.faults = sock, faults
         self.heard = self.said = 0
+        self.unread, self.unsaid = bytearray(), bytearray()
+        self.is_cut = False  # by its faults
 
     def read(self, size: int) -> bytes:
-        data = b""
-        while len(data) < size:
-            want = size - len(data)
-            if self.faults.cut_heard is not None:
-                want = min(want, self.faults.cut_heard - self.heard)
-                if want <= 0:
-                    raise Cut
-            part = self.sock.recv(want)
+        allowed = size if self.faults.cut_heard is None else min(size, self.faults.cut_heard - self.heard)
+        while len(self.unread) < allowed:
+            self.flush()  # as the server does before it waits
+            part = self.sock.recv(1 << 16)
             if not part:
                 raise Cut
-            data += part
-            self.heard += len(part)
+            self.unread += part
+        if allowed < size:
+            self.is_cut = True
+            raise Cut
+        data = bytes(self.unread[:size])
+        del self.unread[:size]
+        self.heard += size
         return data
 
     def write(self, data: bytes) -> None:
+        self.unsaid += data
+
+    def flush(self) -> None:
+        data, self.unsaid = bytes(self.unsaid), bytearray()
         allowed = len(data)
         for limit in (self.faults.cut_said, self.faults.hush_said):
             if limit is not None:
@@ -73,6 +85,7 @@
             self.sock.sendall(data[:allowed])
             self.said += allowed
         if allowed < len(data) and self.faults.cut_said is not None:
+            self.is_cut = True
             raise Cut
 
 
@@ -81,7 +94,11 @@
 
     def __init__(self, path: Path, password: str | None = None) -> None:
         self.path, self.password = path, password
-        self.faults = Faults()
+        self.faults = Faults()  # of every connection, also of those that stand already
+        self.drawn: Callable[[], Faults] | None = None  # in its place, faults of each new connection's own
+        self.cuts = 0
+        self.gate = threading.Event()  # while it is not set, each COMMIT waits before it is done
+        self.gate.set()
         self.listening = socket.create_server(("127.0.0.1", 0))
         self.threads: list[threading.Thread] = []
         self.open: set[socket.socket] = set()
@@ -103,6 +120,7 @@
 
     def __exit__(self, *_: object) -> None:
         self.closing = True
+        self.gate.set()
         with contextlib.suppress(OSError):
             self.listening.shutdown(socket.SHUT_RDWR)
         self.listening.close()
@@ -126,17 +144,20 @@
                 sock, _ = self.listening.accept()
             except OSError:
                 return
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # else 40 ms an answer
             self.open.add(sock)
             self._begin(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        line = Line(sock, self.faults)
+        line = Line(sock, self.drawn() if self.drawn is not None else self.faults)
         self.lines.append(line)
         try:
             Session(self, line).run()
-        except (Cut, OSError):
-            pass
+        except (Cut, OSError) as error:
+            self.cuts += isinstance(error, Cut) and line.is_cut
         finally:
+            with contextlib.suppress(Cut, OSError):
+                line.flush()  # an error that ends the session
             self.open.discard(sock)
             sock.close()
 
@@ -298,6 +319,8 @@
         """Runs the statement; its error is said, and ends the transaction as PostgreSQL does."""
         assert self.database is not None
         word = (self.text.split() or [""])[0].upper()
+        if word == "COMMIT":
+            self.server.gate.wait()
         if self.failed and word not in ("ROLLBACK", "COMMIT"):
             self._error("25P02", "current transaction is aborted")
             return False
@@ -357,8 +380,3 @@
     def _error(self, state: str, text: str) -> None:
         self.skipping = True
         self.say(b"E", f"SERROR\0VERROR\0C{state}\0M{text}\0\0".encode())
-
-
-def sizes(lines: Sequence[Line]) -> tuple[int, int]:
-    """Bytes heard and said on the last connection."""
-    return lines[-1].heard, lines[-1].said
