--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -169,9 +169,9 @@
             self._forget_home(known.id)
 
     def _remember(self, message: str, was: Remembered, size: int) -> None:
+        self._drop_past(message)  # also where its time is up: the segment that told it may go next
         if was.until <= wall_clock():
             return
-        self._drop_past(message)
         home = max(self.segments)
         self.past[message] = Past(was, home, size)
         self.past_homes.setdefault(home, set()).add(message)
--- a/loftrelay/record/recorder.py
+++ b/loftrelay/record/recorder.py
@@ -83,9 +83,6 @@
         """When to come back, while the store is away; 0 while it is there."""
         return self.writer.retry_ms if self.writer.away else 0
 
-    def required(self, held: Held) -> bool:
-        return self.modes.get(held.class_name, Mode.REQUIRED) is Mode.REQUIRED
-
     # A start
 
     async def load(self, messages: Sequence[str]) -> None:
@@ -93,11 +90,7 @@
 
         Raises StoreError."""
         known = await self.writer.call(lambda store: store.read(messages))
-        mine = await self.writer.call(
-            lambda store: [
-                e for e in store.select(Query(unfinished=True)) if e.about.instance == self.instance
-            ]
-        )
+        mine = await self.writer.call(self._mine)
         self.entries = {entry.message: entry for entry in mine} | known
 
     def _mine(self, store: Store) -> list[Entry]:
@@ -186,7 +179,8 @@
             hashlib.sha256(held.body).hexdigest(),
         )  # fmt: skip
         change = Change(held.id, run, 1, Kind.TAKE, held.taken_at, about=about)
-        write = self.writer.write(change, optional=optional and track.mode is Mode.REQUIRED)
+        required = track.mode is Mode.REQUIRED
+        write = self.writer.write(change, optional=optional and required, urgent=required)
         write.add_done_callback(partial(self._taken, held, track, done))
 
     def _taken(
@@ -275,7 +269,8 @@
         change = Change(
             message, track.run, track.number, kind, wall_clock(), host=host, result=result, answer=answer
         )
-        write = self.writer.write(change, optional)
+        urgent = track.mode is Mode.REQUIRED and kind is not Kind.TOLD
+        write = self.writer.write(change, optional, urgent)
         write.add_done_callback(partial(self._written, message, optional))
         return write
 
--- a/loftrelay/record/writer.py
+++ b/loftrelay/record/writer.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -14,12 +15,12 @@
 from typing import TypeVar
 
 from loftrelay.core import steps
-from loftrelay.record import rules
-from loftrelay.record.rules import Change, Entry, Found, RuleBroken
+from loftrelay.record.rules import Change, Entry, RuleBroken
 from loftrelay.record.store import Ambiguous, Store, StoreError, Unusable
 
 log = logging.getLogger(__name__)
 
+LINGER = 0.05  # seconds for which changes that nobody waits for gather: those of one message make one row
 PAUSES = (0.05, 2.0)  # seconds before a store that is away is tried again: at first, at most
 T = TypeVar("T")
 
@@ -45,6 +46,7 @@
     change: Change
     done: asyncio.Future[None]
     optional: bool  # it may be given up when the store is away: nothing has happened yet
+    urgent: bool  # somebody waits for it
 
 
 class Writer:
@@ -60,6 +62,7 @@
         self.store: Store | None = None
         self.queue: deque[Item] = deque()
         self.wanted = asyncio.Event()
+        self.hurry = asyncio.Event()  # something urgent is queued, or there is no time left
         self.away = False
         self.pause = PAUSES[0]
         self.commits = 0
@@ -67,7 +70,7 @@
         self.closing = False
         self.task = asyncio.create_task(self._run())
 
-    def write(self, change: Change, optional: bool = False) -> asyncio.Future[None]:
+    def write(self, change: Change, optional: bool = False, urgent: bool = True) -> asyncio.Future[None]:
         """Done once the change is committed. Its exception is Away (only where `optional`), Elsewhere (a TAKE
         whose id is known) or RuleBroken.
 
@@ -78,8 +81,10 @@
         if optional and (self.away or self.closing or len(self.queue) >= self.most_queued):
             done.set_exception(Away(self.retry_ms))
             return done
-        self.queue.append(Item(change, done, optional))
+        self.queue.append(Item(change, done, optional, urgent))
         self.wanted.set()
+        if urgent or len(self.queue) >= self.most_in_commit:
+            self.hurry.set()
         return done
 
     @property
@@ -94,6 +99,7 @@
         """What is queued is written first, if the store takes it at once."""
         self.closing = True
         self.wanted.set()
+        self.hurry.set()
         await self.task
         self.thread.shutdown(wait=True)
 
@@ -124,10 +130,6 @@
             for change in changes:
                 steps.reached(f"{side} {change.kind.value}")
 
-    def _read_back(self, changes: Sequence[Change]) -> list[Found]:
-        seen = self._opened().read(list({change.message for change in changes}))
-        return [rules.resolve(change, seen.get(change.message)) for change in changes]
-
     # The loop's side
 
     async def _run(self) -> None:
@@ -138,7 +140,12 @@
                 self.wanted.clear()
                 await self.wanted.wait()
                 continue
+            if not self.hurry.is_set():
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self.hurry.wait(), LINGER)
             group = [self.queue.popleft() for _ in range(min(len(self.queue), self.most_in_commit))]
+            if not self.closing and not any(item.urgent for item in self.queue):
+                self.hurry.clear()
             if not await self._write(group):
                 self.queue.extendleft(reversed([item for item in group if not item.done.done()]))
                 if self.closing:
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -12,6 +12,7 @@
 from loftrelay.core.clock import wall_clock
 from loftrelay.core.message import Held
 from loftrelay.core.ports import JournalFull
+from loftrelay.journal import journal as module
 from loftrelay.journal.journal import Journal
 from mulleinlead.interface import Result
 
@@ -179,3 +180,32 @@
     was = last.ended("first")
     assert was is not None and was.status == 500
     assert sum(last.ended(f"m{i}") is not None for i in range(3000)) == len(journal.past) - 1
+
+
+def test_an_id_whose_time_is_up_while_its_segment_is_dropped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Trouble: a relay that was killed did not start again, and one that ran closed a client's connection
+    with no answer: the id was still listed under a segment that had gone."""
+    clock = {"now": 1_000_000, "step": 0}
+
+    def tick() -> int:
+        clock["now"] += clock["step"]
+        return clock["now"]
+
+    monkeypatch.setattr(module, "wall_clock", tick)
+    journal = Journal(tmp_path, 1_000_000)
+    for i in range(200):
+        held = Held(f"m{i}", 0, "order", "acme", 1, None, clock["now"], 1_000_050 + i)
+        journal.take(held)
+        journal.over(held.id, 200)
+    journal.close()
+    clock["step"] = 1  # each look at the clock finds another id out of its time
+    for _ in range(3):
+        journal = Journal(tmp_path, 1_000_000)
+        journal.take(Held("new", 0, "order", "acme", 1, None, clock["now"], clock["now"] + 9))
+        journal.over("new")
+        journal.close()
+    assert set(journal.past) <= {name for names in journal.past_homes.values() for name in names}
+    clock["now"] = 2_000_000
+    assert journal.ended("m199") is None and not journal.past and journal.live == 0
--- a/tests/record/test_writer.py
+++ b/tests/record/test_writer.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from loftrelay.record import writer as module
 from loftrelay.record.rules import Change, Entry, RuleBroken, State
 from loftrelay.record.sqlite import SQLiteStore
 from loftrelay.record.store import Ambiguous, Query, Unavailable
@@ -171,6 +172,34 @@
     run(tmp_path, scenario, most_queued=10)
 
 
+def test_what_nobody_waits_for_gathers_and_goes_with_what_is_urgent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(store: Faulty, writer: Writer) -> None:
+        monkeypatch.setattr(module, "LINGER", 3600)
+        await writer.write(life("first")[0])
+        slow = [writer.write(change, urgent=False) for name in "abc" for change in life(name)]
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert store.groups == [1]
+        await writer.write(life("urgent")[0])
+        assert store.groups == [1, 13] and all(write.done() for write in slow)
+        monkeypatch.setattr(module, "LINGER", 0)
+        await writer.write(life("late")[0], urgent=False)  # and alone, after a while
+        assert store.groups == [1, 13, 1]
+
+    run(tmp_path, scenario)
+
+
+def test_a_full_group_does_not_wait_for_more(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(store: Faulty, writer: Writer) -> None:
+        monkeypatch.setattr(module, "LINGER", 3600)
+        await asyncio.gather(*(writer.write(change, urgent=False) for change in life("m")))
+        assert store.groups == [4]
+
+    run(tmp_path, scenario, most_in_commit=4)
+
+
 def test_closing_writes_what_is_queued(tmp_path: Path) -> None:
     async def scenario(store: Faulty, writer: Writer) -> None:
         writes = [writer.write(change) for change in life("m")]
