--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -606,13 +606,8 @@
         """Sends a message, with all others that may share its call where calls can be bundled."""
         gate, destination = endpoint.gate, endpoint.destination
         members = [first]
-        # A call is given up as a whole when the first of its messages has no time left: those that may not
-        # live until its answer travel alone, lest the others end with them.
-        times = self._times(endpoint)
-        sound = self.now + int(times.usual + PATIENCE * times.deviation)
-        if endpoint.bundle_max > 1 and first.deadline >= sound:
+        if endpoint.bundle_max > 1:
             ready = [m for m in destination.waiting.values() if m is not first and m.not_before <= self.now]
-            ready = [m for m in ready if m.deadline >= sound]
             ready = [m for m in ready if self._in_turn(m) and self._may_send(m, endpoint)]
             members += sorted(ready, key=self._score, reverse=True)[: self._bundle_room(endpoint) - 1]
         call = Call(endpoint, self.now, 0 if endpoint.in_flight else max(0, self.now - endpoint.used_at))
