The demo's partner seldom turns away, and its peers end without a traceback

Cause: README's first command, tried on a fresh clone, delivered 823 of 1,000: its partner turned away 6 of 100 calls whatever the load, so that the relay held it to be overloaded and paced itself. A traceback of a cancelled connection stood before the table.

--- a/loftrelay/demo/peers.py
+++ b/loftrelay/demo/peers.py
@@ -45,7 +45,7 @@
     def __init__(self, respond: Callable[[Request], Awaitable[bytes]]) -> None:
         self.respond = respond
         self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
 
     async def __aenter__(self) -> Peer:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=MOST_HEAD)
@@ -54,8 +54,9 @@
     async def __aexit__(self, *_: object) -> None:
         assert self.server is not None
         self.server.close()
-        for writer in self.writers:
-            writer.transport.abort()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks)
 
     @property
     def address(self) -> str:
@@ -64,16 +65,18 @@
         return f"{host}:{port}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writers.add(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
         try:
             while (request := await read_request(reader)) is not None:
                 writer.write(await self.respond(request))
                 await writer.drain()
-        except (ValueError, ConnectionError):
-            pass  # what can't be read is closed on
+        except (ValueError, ConnectionError, asyncio.CancelledError):
+            pass  # what can't be read is closed on; cancelled only at the end
         finally:
-            self.writers.discard(writer)
-            writer.close()
+            self.tasks.discard(task)
+            writer.transport.abort()
 
 
 class Discovery:
@@ -107,7 +110,10 @@
 
 
 class Partner:
-    """Runs what it is sent, and at times turns away or fails, by one seed. `effects` is its true account."""
+    """Runs what it is sent, and seldom turns away or fails, by one seed. `effects` is its true account.
+
+    Harm: one that turned 6 of 100 away, whatever its load, was held to be overloaded, and 177 of 1,000 messages
+    waited until their time was up."""
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
@@ -118,11 +124,11 @@
         self.attempts += 1
         await asyncio.sleep(self.random.uniform(0.002, 0.01))
         chance = self.random.random()
-        if chance < 0.04:
-            return answer(429, X_Come_Back_Ms="150")  # it never ran
-        if chance < 0.06:
+        if chance < 0.004:
+            return answer(429, X_Come_Back_Ms="50")  # it never ran
+        if chance < 0.006:
             return answer(503)
-        if chance < 0.07:
+        if chance < 0.012:
             return answer(500)  # here it did not run, but nobody could know
         self.effects[request.headers["request-id"]] += 1
         return answer(200)
