--- a/loftrelay/demo/peers.py
+++ b/loftrelay/demo/peers.py
@@ -112,8 +112,8 @@
 class Partner:
     """Runs what it is sent, and seldom turns away or fails, by one seed. `effects` is its true account.
 
-    Harm: one that turned 6 of 100 away, whatever its load, was held to be overloaded, and 177 of 1,000 messages
-    waited until their time was up."""
+    Harm: one that turned 6 of 100 away, whatever its load, was held to be overloaded, and 177 of 1,000
+    messages waited until their time was up."""
 
     def __init__(self, seed: int) -> None:
         self.random = random.Random(seed)
--- a/tests/record/test_rules.py
+++ b/tests/record/test_rules.py
@@ -65,7 +65,7 @@
 }
 
 
-@pytest.mark.parametrize(("state", "kind"), itertools.product(State, Kind))
+@pytest.mark.parametrize(("state", "kind"), list(itertools.product(State, Kind)))
 def test_what_may_follow_what(state: State, kind: Kind) -> None:
     entry = record(*LIVES[state])
     assert entry.state is state
@@ -174,7 +174,7 @@
 SEEN = [None, *(record(*life) for life in LIVES.values()), record(TAKE, INTEND, END, answer=Answer.DELIVERED)]
 
 
-@pytest.mark.parametrize(("held", "seen", "mode"), itertools.product(Held, SEEN, Mode))
+@pytest.mark.parametrize(("held", "seen", "mode"), list(itertools.product(Held, SEEN, Mode)))
 def test_an_unsafe_message_that_may_have_run_never_goes_on(
     held: Held, seen: Entry | None, mode: Mode
 ) -> None:
@@ -190,7 +190,7 @@
         assert seen.state is State.TOLD  # nothing is owed
 
 
-@pytest.mark.parametrize(("held", "seen", "unsafe"), itertools.product(Held, SEEN, (False, True)))
+@pytest.mark.parametrize(("held", "seen", "unsafe"), list(itertools.product(Held, SEEN, (False, True))))
 def test_a_message_whose_commit_never_came_is_forgotten_only_if_its_client_was_never_told(
     held: Held, seen: Entry | None, unsafe: bool
 ) -> None:
