Pace grows more slowly the more relays share a limit: fewer calls are refused

Ruled out: bursts at the end of told waits (most refusals tell none).

Change: growth and step are divided among the relays that are told (`CROWD`); one relay alone grows as before.

--- /dev/null
+++ b/benchmarks/fleetmodel.py
@@ -0,0 +1,259 @@
+"""Many Brains at one destination, in virtual time: what each does alone, and what that makes together.
+
+A model of a limited destination and of the clients of each relay, small enough to be read whole and to run
+thousands of messages a second. It knows no sockets and no program round the module. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from mulleinlead import interface as api
+from mulleinlead.adapter import read_settings
+from mulleinlead.brain import Brain
+
+SECOND = 1_000_000
+START = 1_000 * SECOND
+WAY = 30_000  # one way between a relay and the destination
+SERVICE = 100_000  # mean time of a call there
+CLIENT_BASE = SECOND // 2  # of a client that was refused, doubled with each try
+CLIENT_TRIES = 3
+COLD, COLD_FROM, MULTIPLE, TIP = 12 * SECOND, 0.25, 2.0, 2 * SECOND
+
+
+class Decider(Protocol):
+    """What a fleet asks of the decision module, of any age."""
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One course of events. Spans are seconds from the start."""
+
+    relays: int = 40
+    limit: float = 55.0  # calls a second that the destination takes from all
+    load: float = 0.85  # messages offered over that
+    seconds: float = 30.0
+    depth: float = 0.5  # seconds of the limit that may come at once
+    counted: bool = True  # refused calls use the limit up, too
+    wait: int = 0  # told with a refusal; 0: none
+    lowered: tuple[float, float, float] | None = None  # from, to, and the part of the limit that is left
+    outage: tuple[float, float] | None = None  # from, to: no connection comes up; cold after
+    endpoints: int = 2
+    slots: int = 4
+    bundle: int = 1
+    held: int = 62
+    told_relays: bool = True
+    clumps: float = 0.1  # part of the messages that come five at a time
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Told:
+    """What happened at the destination and to the messages."""
+
+    calls: list[tuple[int, int, api.Result]] = field(default_factory=list)  # when, relay, how it ended
+    sends: list[tuple[int, int, int]] = field(default_factory=list)  # when, relay, tries of the message
+    offered: int = 0  # first tries of clients
+    delivered: dict[str, int] = field(default_factory=dict)  # when
+    ended: dict[str, int] = field(default_factory=dict)  # when failed or refused
+    taken: dict[str, int] = field(default_factory=dict)  # when
+    relay_of: dict[str, int] = field(default_factory=dict)
+
+    def count(self, result: api.Result, since: float = 0, until: float = 1e9) -> int:
+        """Calls that ended so, by when they came to the destination (seconds from the start)."""
+        low, high = START + since * SECOND, START + until * SECOND
+        return sum(1 for at, _, how in self.calls if how is result and low <= at < high)
+
+    def delays(self) -> list[int]:
+        """From taken on to delivered, of all that were."""
+        return [at - self.taken[name] for name, at in self.delivered.items()]
+
+    def peak_over_mean(self, since: float, until: float, step: float = 0.1) -> float:
+        """Of the sends in a span, by steps of so many seconds: the fullest over the mean."""
+        steps = max(1, round((until - since) / step))
+        full = [0] * steps
+        for at, _, _ in self.sends:
+            index = int(((at - START) / SECOND - since) / step)
+            if (at - START) / SECOND >= since and index < steps:
+                full[index] += 1
+        return max(full) * steps / max(1, sum(full))
+
+
+class Fleet:
+    """Runs one case. `make` gives the module of one relay, from its seed and settings."""
+
+    def __init__(self, case: Case, make: Callable[[int, api.Settings], Decider] = Brain) -> None:
+        self.case = case
+        self.make = make
+        self.random = random.Random(case.seed)
+        self.clients = [random.Random(case.seed * 1000 + number) for number in range(case.relays)]
+        self.told = Told()
+        self.due: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = 0
+        self.now = START
+        self.inbox: dict[int, list[api.Event]] = {}
+        self.relays: list[Decider] = []
+        self.tokens, self.filled = case.limit * case.depth, START
+        self.tries: dict[str, int] = {}
+        self.out: set[tuple[int, str]] = set()
+        self.number = 0
+
+    def run(self) -> Told:
+        settings = self._settings()
+        entries = tuple(
+            api.Entry(f"host-{n}", 1, api.State.LISTED, "here", "kind", None)
+            for n in range(self.case.endpoints)
+        )
+        for number in range(self.case.relays):
+            self.relays.append(self.make(self.case.seed * 1000 + number, settings))
+            self._post(number, api.Listing(api.Form.FULL, entries))
+            self._arrive(number)
+        end = START + int(self.case.seconds * SECOND)
+        while self.due and self.due[0][0] < end:
+            self.now, _, act = heapq.heappop(self.due)
+            act()
+        return self.told
+
+    def _settings(self) -> api.Settings:
+        return read_settings(
+            {
+                "flavors": ["kind"],
+                "classes": [
+                    {"name": "update", "effect": "idempotent", "on_time": 3 * SECOND,
+                     "deadline": 12 * SECOND, "worth": 1.0, "late_worth": 0.4},
+                ],
+                "extra": {"call_slots": self.case.slots, "bundle_max": [self.case.bundle]},
+                "policy_limits": {"most_tries": 12, "most_held": self.case.held, "conn_idle": 15 * SECOND},
+                "safety": {"cold": COLD, "cold_from": COLD_FROM, "fall_multiple": MULTIPLE,
+                           "tip_after": TIP, "settle_after_doubt": 300_000},
+                "peers_total": self.case.relays if self.case.told_relays else None,
+                "tick": 1000,
+            }
+        )  # fmt: skip
+
+    # Time
+
+    def _at(self, time: int, act: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.due, (time, self.order, act))
+
+    def _post(self, relay: int, event: api.Event) -> None:
+        if relay not in self.inbox:
+            self.inbox[relay] = []
+            self._at(self.now, lambda: self._turn(relay))
+        self.inbox[relay].append(event)
+
+    def _turn(self, relay: int) -> None:
+        events = self.inbox.pop(relay, [])
+        calls: dict[str, list[str]] = {}
+        for action in self.relays[relay].handle(self.now, events):
+            match action:
+                case api.Send(message, endpoint):
+                    calls.setdefault(endpoint, []).append(message)
+                case api.SetTimer(delay, token):
+                    self._at(self.now + delay, lambda t=token: self._post(relay, api.Timer(t)))  # type: ignore[misc]
+                case api.Refuse(message, _):
+                    self.told.ended[message] = self.now
+                    self._again(relay, message)
+                case api.Fail(message):
+                    self.told.ended[message] = self.now
+        for endpoint, names in calls.items():
+            for first in range(0, len(names), self.case.bundle):
+                self._call(relay, endpoint, names[first : first + self.case.bundle])
+
+    # Clients
+
+    def _arrive(self, relay: int) -> None:
+        rate = self.case.limit * self.case.load / self.case.relays / (1 + 4 * self.case.clumps / 5)
+        gap = int(self.clients[relay].expovariate(rate) * SECOND)
+        self._at(self.now + gap, lambda: self._come(relay))
+
+    def _come(self, relay: int) -> None:
+        for _ in range(5 if self.clients[relay].random() < self.case.clumps / 5 else 1):
+            self.told.offered += 1
+            self.number += 1
+            self._submit(relay, f"m{self.number}", 1)
+        self._arrive(relay)
+
+    def _submit(self, relay: int, name: str, tries: int) -> None:
+        self.tries[name] = tries
+        self.told.taken[name], self.told.relay_of[name] = self.now, relay
+        self._post(relay, api.Submit(name, 1, "update", None, 12 * SECOND, None))
+
+    def _again(self, relay: int, name: str) -> None:
+        if (tries := self.tries[name]) < CLIENT_TRIES:
+            wait = int(CLIENT_BASE * 2**tries * self.random.uniform(0.7, 1.3))
+            self._at(self.now + wait, lambda: self._submit(relay, f"{name}+", tries + 1))
+
+    # The destination
+
+    def _limit(self, now: int) -> float:
+        since = (now - START) / SECOND
+        if self.case.lowered is not None and self.case.lowered[0] <= since < self.case.lowered[1]:
+            return self.case.limit * self.case.lowered[2]
+        return self.case.limit
+
+    def down(self, now: int) -> bool:
+        out, since = self.case.outage, (now - START) / SECOND
+        return out is not None and out[0] <= since < out[1]
+
+    def _call(self, relay: int, endpoint: str, names: list[str]) -> None:
+        sent = self.now
+        self.told.sends.append((sent, relay, len(names)))
+
+        def arrive() -> None:
+            if self.down(self.now):
+                result, took = api.Result.NO_CONNECTION, 2 * WAY
+            elif self._takes():
+                result, took = api.Result.OK, WAY + int(self.random.expovariate(1 / SERVICE))
+            else:
+                result, took = api.Result.FULL, WAY
+            self.told.calls.append((self.now, relay, result))
+            self._at(self.now + took, lambda: finish(result))
+
+        def finish(result: api.Result) -> None:
+            wait = self.case.wait if result is api.Result.FULL else 0
+            for name in names:
+                over = result is api.Result.OK or name in self.told.ended
+                if result is api.Result.OK and name not in self.told.ended:
+                    self.told.delivered[name] = self.now
+                self._post(
+                    relay, api.Outcome(name, 0, endpoint, result, self.now - sent, over, wait, None, None, 0)
+                )
+
+        self._at(sent + WAY, arrive)
+
+    def _takes(self) -> bool:
+        limit = self._limit(self.now)
+        most = limit * self.case.depth
+        self.tokens = min(most, self.tokens + limit * (self.now - self.filled) / SECOND)
+        self.filled = self.now
+        if self.tokens >= 1:
+            self.tokens -= 1
+            return True
+        if self.case.counted:
+            self.tokens = max(-most, self.tokens - 1)
+        return False
+
+
+def over_capacity(told: Told, case: Case) -> float:
+    """Of a destination that is back: the most calls in any span of TIP, over what it then takes."""
+    assert case.outage is not None
+    back = START + case.outage[1] * SECOND
+    recent: deque[int] = deque()
+    worst = 0.0
+    for at in sorted(at for at, _, _ in told.calls if at >= back):
+        recent.append(at)
+        while recent[0] <= at - TIP:
+            recent.popleft()
+        warm = min(1.0, (at - back) / COLD)
+        capacity = case.limit * (COLD_FROM + (1 - COLD_FROM) * warm) * TIP / SECOND
+        worst = max(worst, len(recent) / capacity)
+    return worst
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -34,6 +34,9 @@
 DEMAND_SPAN, LEAST_SPAN = 60 * SECOND, 2 * SECOND  # memory of the demand that this relay was given
 PACE_CUT, PACE_GROWTH, PACE_FLOOR = 0.8, 1.06, 0.5  # the floor counts in this relay's own demand
 PACE_STEP, BACKLOG, RARE_GROWTH = 0.15, 10, 1.12
+# Growth and step are those of one relay alone. Refused calls settle where growth and cuts balance, whatever
+# the limit: at one in five, all lost to the fleet where they use the limit up. So many relays halve it.
+CROWD = 20
 EXTRA_WEIGHT = 0.25  # of each further message in a bundle, in the budget of a cold destination
 OUTAGE_STREAK, OUTAGE_ERRORS = 2 * SECOND, 0.6  # no success for so long, or most calls failing: an outage
 MANY_STRAYS = 3  # failures in a row that tell of a connection: only then the destination is held to fail
@@ -200,6 +203,7 @@
         self.max_attempts = max(1, settings.max_attempts or NO_ATTEMPTS)
         self.max_held = settings.max_held or NO_HELD
         self.relays = max(1, settings.instances or 1)
+        self.alone = CROWD / (CROWD + self.relays - 1)
         self.cold = settings.cold or NO_COLD
         self.cold_from = settings.cold_from or NO_COLD_FROM
         self.multiple = settings.fall_multiple or NO_MULTIPLE
@@ -790,8 +794,8 @@
         endpoint.kin.times.add(elapsed)
         gate.errors *= 0.75
         # Trouble: a low pace grew by next to nothing for want of successes; a backlog lifts it faster, too.
-        gate.pace *= RARE_GROWTH if gate.pace < 1 else PACE_GROWTH
-        gate.pace += PACE_STEP if len(endpoint.destination.waiting) >= BACKLOG else 0
+        gate.pace *= 1 + ((RARE_GROWTH if gate.pace < 1 else PACE_GROWTH) - 1) * self.alone
+        gate.pace += PACE_STEP * self.alone if len(endpoint.destination.waiting) >= BACKLOG else 0
         if gate.outage:
             gate.outage, gate.cold_since = False, self.now
             self.actions.append(
