--- a/benchmarks/fleetmodel.py
+++ b/benchmarks/fleetmodel.py
@@ -61,7 +61,7 @@
     """What happened at the destination and to the messages."""
 
     calls: list[tuple[int, int, api.Result]] = field(default_factory=list)  # when, relay, how it ended
-    sends: list[tuple[int, int, int]] = field(default_factory=list)  # when, relay, tries of the message
+    sends: list[tuple[int, int, int]] = field(default_factory=list)  # when, relay, messages in the call
     offered: int = 0  # first tries of clients
     delivered: dict[str, int] = field(default_factory=dict)  # when
     ended: dict[str, int] = field(default_factory=dict)  # when failed or refused
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -410,9 +410,7 @@
         took = asyncio.get_running_loop().time() - began
         calm = self.unsettled.get(messages[0].destination, 0.0) < began
         if committed and took < (LONGEST_CALM_INTENT if calm else LONGEST_INTENT) and not self.stopped:
-            if took > 0.001:
-                terms = replace(terms, timeout=max(0.0, terms.timeout - took))
-            self.delivery.send(host, messages, terms)
+            self.delivery.send(host, messages, replace(terms, timeout=max(0.0, terms.timeout - took)))
             return
         again = max(LATE_MS, self.record.retry_ms if self.record is not None else 0)
         for held in messages:
--- a/tests/mulleinlead/test_many_relays.py
+++ b/tests/mulleinlead/test_many_relays.py
@@ -13,7 +13,8 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_few_calls_are_refused_where_many_relays_want_more_than_a_limit_allows(seed: int) -> None:
     """Trouble: growth by 6% a success against cuts by a fifth settled at one refused call in five, and what
-    was refused used the limit up: at 130% of it, forty relays delivered 72% of it, 0.41 refused for each."""
+    was refused used the limit up: at 130% forty relays delivered 73 to 76% of it, and 0.32 to 0.38 were refused
+    for each."""
     case = Case(load=1.3, seed=seed)
     told = Fleet(case).run()
     assert len(told.delivered) > 0.82 * case.limit * case.seconds
@@ -30,7 +31,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_a_limit_that_drops_to_a_half_is_found_and_its_return_too(seed: int) -> None:
-    """Before: 1.7 and 1.5 refused for each delivered meanwhile, and three quarters of the limit after."""
+    """Before, with seeds 1 and 3: 1.7 and 1.5 refused for each delivered, then 3/4 of the limit used."""
     case = Case(load=0.85, lowered=(8.0, 17.0, 0.5), seed=seed)
     told = Fleet(case).run()
     assert told.count(Result.FULL, 8, 17) < 1.45 * told.count(Result.OK, 8, 17)
@@ -48,6 +49,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_lost_machines_that_come_back_together_do_not_choke_a_limit(seed: int) -> None:
+    """A guard: the module before delivered more there (0.97 of what is offered), and passes it as well."""
     case = Case(load=0.85, killed=(10.0, 0.7), seed=seed)
     told = Fleet(case).run()
     assert told.count(Result.FULL) < 0.1 * len(told.delivered)
