--- a/tests/mulleinlead/test_many_relays.py
+++ b/tests/mulleinlead/test_many_relays.py
@@ -13,8 +13,8 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_few_calls_are_refused_where_many_relays_want_more_than_a_limit_allows(seed: int) -> None:
     """Trouble: growth by 6% a success against cuts by a fifth settled at one refused call in five, and what
-    was refused used the limit up: at 130% forty relays delivered 73 to 76% of it, and 0.32 to 0.38 were refused
-    for each."""
+    was refused used the limit up: at 130% forty relays delivered 73 to 76% of it, and had 0.32 to 0.38
+    calls refused for each."""
     case = Case(load=1.3, seed=seed)
     told = Fleet(case).run()
     assert len(told.delivered) > 0.82 * case.limit * case.seconds
