--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -13,10 +13,13 @@
 from pathlib import Path
 
 from loftrelay.app import build
-from loftrelay.config import Config, ConfigError, load_config, reload_discovery
+from loftrelay.config import Config, ConfigError, load_config, reload
 from loftrelay.delivery.pools import Limits
 from loftrelay.delivery.settings import load_limits
+from loftrelay.fronts.control.relay import Relay
+from loftrelay.fronts.control.server import Door
 from loftrelay.fronts.http.server import Server
+from loftrelay.journal.hosts_out import HostsOut
 from loftrelay.journal.journal import Journal
 from loftrelay.record.settings import RecordSettings, load_record
 from loftrelay.record.store import StoreError
@@ -59,16 +62,33 @@
 
         recorder = await open_record(config, record, journal)
     engine, journal = build(config, connections, journal, recorder)
+    told = config.told
 
-    def reload() -> None:
+    def read_again() -> None:
+        nonlocal told
         try:
-            engine.move(reload_discovery(os.environ))
+            change = reload(os.environ, told)
         except ConfigError as error:
+            engine.figures.sighup_rejected += 1
             log.error("the configuration stays as it was: %s", error)
-
-    loop.add_signal_handler(signal.SIGHUP, reload)
+            return
+        told = change.told
+        if recorder is not None and record is not None:
+            from loftrelay.recording import modes
+
+            recorder.modes = {**recorder.modes, **modes(change.settings, record)}
+        engine.retune(change.settings, change.discovery)
+        engine.figures.sighup_applied += 1
+
+    loop.add_signal_handler(signal.SIGHUP, read_again)
+    relay = Relay(HostsOut(config.state))
+    relay.engine = engine
+    door = Door(relay) if config.control is not None else None
+    if door is not None and config.control is not None:
+        log.info("%s is open to operators on %s:%d", config.name, *await door.listen(config.control))
     server = Server(engine, config.most_clients)
     log.info("%s listens on %s:%d", config.name, *await server.listen(config.listen))
+    relay.serving = True
     await stop.wait()
     began = loop.time()
     server.stopping = True
@@ -83,6 +103,8 @@
     engine.notices.close()
     engine.discovery.close()
     engine.delivery.close()
+    if door is not None:
+        door.close()
     if recorder is not None:
         await recorder.close()
     journal.close()
@@ -92,7 +114,8 @@
     about = argparse.ArgumentParser(
         prog="python -m loftrelay",
         description="Runs one relay in the foreground, until SIGTERM. Other commands, each with --help: "
-        "record (reads the store of record), demo (shows a relay at work on this machine alone).",
+        "record (reads the store of record), demo (shows a relay at work on this machine alone), "
+        "ctl (one call at a relay's door for operators).",
         epilog="RELAY_CONFIG names the platform's file; RELAY_STATE the folder that lasts. RELAY_NAME, "
         "RELAY_LISTEN and RELAY_DISCOVERY go before what the file says. SIGHUP reads the file again.",
     )
@@ -117,6 +140,10 @@
         from loftrelay.commands import demo
 
         return demo.main(given[1:])
+    if given[:1] == ["ctl"]:
+        from loftrelay.commands import ctl
+
+        return ctl.main(given[1:])
     asked = parser().parse_args(given)
     handler = logging.StreamHandler()
     handler.addFilter(Throttle())
--- a/loftrelay/app.py
+++ b/loftrelay/app.py
@@ -4,9 +4,11 @@
 
 from loftrelay.config import Config
 from loftrelay.core.engine import Engine
+from loftrelay.core.handover import Handed
 from loftrelay.core.ports import Record
 from loftrelay.delivery.hosts import Hosts
 from loftrelay.delivery.pools import Limits
+from loftrelay.journal.hosts_out import HostsOut
 from loftrelay.journal.journal import Journal
 from loftrelay.membership.discovery import Discovery
 from loftrelay.membership.notices import Notices
@@ -19,8 +21,10 @@
     connections: Limits = DEFAULT_LIMITS,
     journal: Journal | None = None,
     record: Record | None = None,
+    handed: Handed | None = None,
 ) -> tuple[Engine, Journal]:
-    """`connections`: what the operator's file on connections sets.
+    """`connections`: what the operator's file on connections sets. `handed`: what another process told that
+    has handed the journal over.
 
     Returns the engine with all its parts, running, and its journal. To be called within a running loop.
 
@@ -29,12 +33,13 @@
     engine = Engine(config.seed, config.settings, journal, record)
     delivery = Hosts(
         config.settings.connect_timeout, config.settings.idle_limit, config.most_to_hosts,
-        connections, config.seed, journal.tried, engine.ended, engine.doubted,
+        connections, config.seed, journal.tried, engine.ended, engine.doubted, engine.figures.forwarded,
     )  # fmt: skip
-    engine.connect(
-        delivery,
-        Discovery(config.discovery, config.settings.ask_every, engine.listed),
-        Notices(config.discovery, engine.noticed),
-        config.known,
-    )
+    where = config.discovery if handed is None else handed.discovery
+    discovery = Discovery(where, config.settings.ask_every, engine.listed)
+    notices = Notices(where, engine.noticed)
+    if handed is not None:
+        engine.take_over(delivery, discovery, notices, handed)
+    else:
+        engine.connect(delivery, discovery, notices, config.known, HostsOut(config.state).load())
     return engine, journal
--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -4,12 +4,13 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 from loftrelay.net.address import Address, parse_address
 from loftrelay.settings.checked import SettingsError
+from loftrelay.settings.platform import check_change, check_settings
 from mulleinlead.adapter import read_settings
 from mulleinlead.interface import Settings
 
@@ -17,6 +18,7 @@
 # closed. Hosts get two for each call that may be out and 64 to keep, but half at most; the rest is
 # for clients. The buffers of a client may hold 80 KB, so that clients fill 0.4 of the memory at most.
 OTHER_DESCRIPTORS, LEAST_TO_HOSTS, CLIENTS_A_MB = 40, 64, 5
+DOOR_DESCRIPTORS = 32  # the operators' door has its own, so that clients can't use them up
 
 
 class ConfigError(SettingsError):
@@ -35,6 +37,8 @@
     disk_bytes: int
     settings: Settings
     known: Mapping[str, Any]
+    control: Address | None = None  # where operators call; None: no door
+    told: Mapping[str, Any] = field(default_factory=dict)  # the file, as it stands
 
 
 def read_file(environ: Mapping[str, str]) -> dict[str, Any]:
@@ -50,13 +54,41 @@
     return told
 
 
-def reload_discovery(environ: Mapping[str, str]) -> Address:
-    """Where discovery is now. Once the file has been replaced, it goes before the environment."""
+def read_told(told: Mapping[str, Any], path: str) -> Settings:
+    """The settings of a file, checked. Raises ConfigError."""
+    try:
+        check_settings(told.get("settings"))
+        # On sockets the list is always asked for, and a message not delivered ends by a notice.
+        return replace(read_settings(dict(told["settings"])), list_on_request=True, ends_by_notice=True)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What a file that was read again sets."""
+
+    discovery: Address
+    settings: Settings
+    told: Mapping[str, Any]
+
+
+def reload(environ: Mapping[str, str], in_force: Mapping[str, Any]) -> Change:
+    """Reads the file again, whole, and checks it whole. Once it has been replaced, what it says of discovery
+    goes before the environment. Raises ConfigError: then nothing of it may be used."""
     told = read_file(environ)
+    path = environ["RELAY_CONFIG"]
+    settings = read_told(told, path)
     try:
-        return parse_address(told["discovery"])
-    except (KeyError, ValueError) as error:
-        raise ConfigError(f"{environ['RELAY_CONFIG']} tells no discovery: {error}") from error
+        check_change(in_force["settings"], told["settings"])
+        for key in ("name", "listen", "limits"):
+            if key in in_force and key not in told:
+                raise ValueError(f"it tells no {key}")
+        if "discovery" not in told:
+            raise ValueError("it tells no discovery")
+        return Change(parse_address(told["discovery"]), settings, told)
+    except ValueError as error:
+        raise ConfigError(f"{path}: {error}") from error
 
 
 def load_config(environ: Mapping[str, str]) -> Config:
@@ -65,21 +97,26 @@
     path, limits = environ["RELAY_CONFIG"], told.get("limits", {})
     try:
         sockets = int(limits.get("sockets", 1024))
-        # On sockets the list is always asked for, and a message not delivered ends by a notice.
-        settings = replace(read_settings(told["settings"]), list_on_request=True, ends_by_notice=True)
+        control = environ.get("RELAY_CONTROL") or told.get("control")
+        listen = parse_address(environ.get("RELAY_LISTEN") or told["listen"])
+        discovery = parse_address(environ.get("RELAY_DISCOVERY") or told["discovery"])
+        seed = int(str(told.get("seed", "0")), 16)
+        settings = read_told(told, path)
         to_hosts = min((sockets - OTHER_DESCRIPTORS) // 2, 2 * (settings.slots or sockets) + LEAST_TO_HOSTS)
-        clients = sockets - OTHER_DESCRIPTORS - to_hosts
+        clients = sockets - OTHER_DESCRIPTORS - to_hosts - (DOOR_DESCRIPTORS if control else 0)
         return Config(
             name=environ.get("RELAY_NAME") or str(told["name"]),
-            listen=parse_address(environ.get("RELAY_LISTEN") or told["listen"]),
-            discovery=parse_address(environ.get("RELAY_DISCOVERY") or told["discovery"]),
+            listen=listen,
+            discovery=discovery,
             state=Path(environ["RELAY_STATE"]),
-            seed=int(str(told.get("seed", "0")), 16),
+            seed=seed,
             most_clients=min(clients, int(limits.get("memory_mb", 64)) * CLIENTS_A_MB),
             most_to_hosts=to_hosts,
             disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
             settings=settings,
             known=told.get("known") or {},
+            control=parse_address(control) if control else None,
+            told=told,
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is not told, neither in the environment nor in {path}") from error
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from functools import partial
 from typing import Any
 
 from loftrelay.core.clock import wall_clock
+from loftrelay.core.handover import Handed
 from loftrelay.core.message import Held
 from loftrelay.core.ports import (
+    Away,
     Delivery,
     Directory,
     Ending,
@@ -23,6 +25,8 @@
     Terms,
 )
 from loftrelay.core.steps import reached
+from loftrelay.core.terms import Accepted, may_repeat, unpack
+from loftrelay.figures.registry import End, Figures, Gauges
 from loftrelay.net.address import Address
 from mulleinlead import interface as api
 from mulleinlead.brain import Brain
@@ -60,10 +64,12 @@
         self.unsettled: dict[int, float] = {}  # destination -> when it last told of anything but success
         self.untold: dict[str, dict[str, Any]] = {}  # ends that the store must have before they are told
         self.brain = Brain(seed, settings)
-        harmless = (api.Effect.SAFE, api.Effect.KEYED)
-        self.unsafe = {name for name, about in settings.classes.items() if about.effect not in harmless}
+        self.accepted = Accepted(settings)
+        self.figures = Figures(settings.classes)
+        self.out: set[str] = set()  # hosts that the operator leaves out
         self.tick = (settings.tick or NO_TICK) / 1e6
-        self.bundles: dict[str, int] = {}
+        self.bundles: dict[str, int] = {}  # hosts in the list, and how many messages a call to them holds
+        self.entries: dict[str, tuple[api.Entry, Address]] = {}  # the list
         self.sent_at: dict[str, int] = {}
         self.unanswered: dict[str, Callable[[int, int], None]] = {}
         self.events: list[api.Event] = []
@@ -73,11 +79,22 @@
         self.timer: asyncio.TimerHandle | None = None
         self.destinations: set[int] = set()  # that a list has named
         self.stopped = False
+        self.away: Away | None = None  # this process decides nothing: who hears what still becomes known
+        self.abroad: dict[str, str] = {}  # messages out in calls of the process before this one, and where to
 
     def connect(
-        self, delivery: Delivery, discovery: Directory, notices: NoticeBoard, known: Mapping[str, Any]
+        self,
+        delivery: Delivery,
+        discovery: Directory,
+        notices: NoticeBoard,
+        known: Mapping[str, Any],
+        out: Iterable[str] = (),
     ) -> None:
-        """From here on it runs: the list as last known, then what was held before a restart."""
+        """From here on it runs: the list as last known, then what was held before a restart. `out`: the hosts
+        that operators have taken out."""
+        for host in out:
+            self.out.add(host)
+            self._post(api.TakenOut(host))
         self.delivery, self.discovery, self.notices = delivery, discovery, notices
         self._recover(known)
 
@@ -111,14 +128,15 @@
 
     def submit(self, held: Held, answer: Callable[[int, int], None]) -> None:
         """Takes a message in. The answer, a status and when to come back (ms), is given in this turn."""
+        held.terms = self.accepted.terms(held.class_name, wall_clock())
         full = self.settings.max_held is not None and self.open >= self.settings.max_held
         if full or held.destination not in self.destinations:
-            answer(REFUSED, REFUSED_HERE_MS)
+            self._refuse_here(held, answer)
             return
         try:
             self.journal.take(held)
         except JournalFull:
-            answer(REFUSED, REFUSED_HERE_MS)
+            self._refuse_here(held, answer)
             return
         reached("journal take")
         if self.record is not None:
@@ -127,6 +145,10 @@
         else:
             self._enter(held, answer)
 
+    def _refuse_here(self, held: Held, answer: Callable[[int, int], None]) -> None:
+        self.figures.ended(held.class_name, End.DECLINED)
+        answer(REFUSED, REFUSED_HERE_MS)
+
     def _enter(self, held: Held, answer: Callable[[int, int], None]) -> None:
         if self.stopped:
             answer(TAKEN, 0)
@@ -140,6 +162,8 @@
         answer = self.entering.pop(held.id, None)
         if taken.status or taken.retry_ms:
             self.journal.over(held.id)
+            if answer is not None and not taken.status:
+                self.figures.ended(held.class_name, End.DECLINED)
             if answer is not None:
                 answer(taken.status or REFUSED, taken.retry_ms)
         elif answer is not None:
@@ -189,9 +213,90 @@
         if self.record is not None:
             self.record.end(message, answer, None, partial(self.record.told, message))
 
+    # Two processes, one after the other
+
+    def freeze(self, away: Away) -> None:
+        """Stands still: nothing is decided, begun, written or told until `thaw`. What its calls still tell
+        goes to `away`. Calls that were decided and have not begun are to be decided anew."""
+        self._answer_taken()
+        self.away = away
+        if self.timer is not None:
+            self.timer.cancel()
+        for held, host in self.delivery.recall():
+            held.attempts -= 1
+            self.sent_at.pop(held.id, None)
+            self.events.append(
+                api.Outcome(
+                    held.id, held.attempts, host, api.Result.NOT_SENT, 0, False, 0, None, None, None, False, 1
+                )
+            )  # fmt: skip
+        self.discovery.pause()
+        self.notices.close()
+
+    def thaw(self) -> None:
+        self.away = None
+        self.timer = None
+        self.brain.armed = 0  # the timer that was set is gone
+        self.discovery.watch()
+        self.notices.move(self.discovery.address)
+        self._post(api.Timer(0))
+
+    def take_over(
+        self, delivery: Delivery, discovery: Directory, notices: NoticeBoard, handed: Handed
+    ) -> None:
+        """In place of `connect`: goes on where another process stood still."""
+        self.brain, self.now = handed.module, max(self._clock(), handed.module.now)
+        self.out = set(handed.module.out)
+        self.sent_at, self.destinations = handed.sent_at, handed.destinations
+        self.accepted.dropped = {n: d for n, d in handed.dropped.items() if n not in self.settings.classes}
+        self.delivery, self.discovery, self.notices = delivery, discovery, notices
+        for entry, address in handed.entries:
+            self._place(entry, address)
+        self.events = handed.events
+        self._post(api.Retuned(self.settings))
+        self._reconcile()
+        self.discovery.resume(handed.revision)
+
+    def _reconcile(self) -> None:
+        """Every message of the journal is known to the module, and the other way round."""
+        heard = {event.message for event in self.events if isinstance(event, api.Outcome)}
+        coming = {event.message for event in self.events if isinstance(event, api.Submit)}
+        for message in self.brain.messages.values():
+            if message.call is not None and message.name not in heard:
+                self.abroad[message.name] = message.call.endpoint.name
+            if message.name not in self.journal.held:
+                self._post(api.Withdrawn(message.name))
+        now = wall_clock()
+        for held in sorted(self.journal.held.values(), key=lambda held: held.number):
+            if held.tried_at is not None and held.id not in self.abroad:
+                self.journal.outcome(held, api.Result.NOT_SENT)
+            if held.notice is not None:
+                self._tell(held.id, held.notice)
+            elif held.id not in self.brain.messages and held.id not in coming:
+                log.error("%s is in the journal and was not handed over", held.id)
+                self._post(self._recovered(held, now))
+
+    def lose_abroad(self) -> None:
+        """The process before this one is gone with the calls that it still had out: they may have run."""
+        for message, host in list(self.abroad.items()):
+            self.heard_abroad(message, host, Ending(api.Result.BROKEN))
+
+    def heard_abroad(self, message: str, host: str, ending: Ending) -> None:
+        """The outcome of a call of the process before this one."""
+        if (held := self.journal.held.get(message)) is not None:
+            self.ended(held, host, ending)
+            return
+        self.abroad.pop(message, None)
+        self._post(
+            api.Outcome(message, 0, host, ending.result, 0, ending.over, ending.wait, None, None, ending.idle)
+        )
+
     def _submission(self, held: Held) -> api.Submit:
         remaining = held.deadline - wall_clock()
-        return api.Submit(held.id, held.destination, held.class_name, held.tenant, remaining, held.key)
+        terms = unpack(held.class_name, held.terms) if held.terms is not None else None
+        return api.Submit(
+            held.id, held.destination, held.class_name, held.tenant, remaining, held.key, terms
+        )  # fmt: skip
 
     def _recover(self, known: Mapping[str, Any]) -> None:
         """What was held before a restart enters in its first order."""
@@ -199,6 +304,8 @@
         now = wall_clock()
         messages = sorted(self.journal.held.values(), key=lambda held: held.number)
         for held in messages:
+            if held.terms is None:
+                held.terms = self.accepted.terms(held.class_name, now)
             if held.tried_at is not None:
                 self.journal.outcome(held, api.Result.BROKEN)  # the restart broke its connection
         for key, doubt in self.journal.doubts.items():
@@ -207,13 +314,7 @@
                 self._post(api.KeyRest(key, remaining))
         messages = [held for held in messages if self._mend(held)]
         for held in messages:
-            ran_ago = None if held.ran_at is None else max(0, now - held.ran_at)
-            self._post(
-                api.Recovered(
-                    self._submission(held), max(0, now - held.taken_at), held.attempts, ran_ago, held.ran_on,
-                    ended=held.notice is not None,
-                )
-            )  # fmt: skip
+            self._post(self._recovered(held, now))
             if held.notice is not None:
                 self._tell(held.id, held.notice)
         for message in self.record.unheld(self.journal.held) if self.record is not None else ():
@@ -221,15 +322,22 @@
         if messages:
             log.info("%d messages taken up again", len(messages))
 
+    def _recovered(self, held: Held, now: int) -> api.Recovered:
+        ran_ago = None if held.ran_at is None else max(0, now - held.ran_at)
+        return api.Recovered(
+            self._submission(held), max(0, now - held.taken_at), held.attempts, ran_ago, held.ran_on,
+            ended=held.notice is not None,
+        )  # fmt: skip
+
     def _mend(self, held: Held) -> bool:
         """Whether a message of the journal goes on, after what the store of record tells of it."""
         if self.record is None:
             return True
         answer = self.record.answer(held.id)
-        mend = self.record.recover(held, held.id, held.class_name in self.unsafe)
+        mend = self.record.recover(held, held.id, not may_repeat(held.terms))
         if mend in ("AGREE", "FORGET"):
             ended = {"delivered": DELIVERED, "failed": FAILED}.get(answer or "", 0)
-            self.journal.over(held.id, ended if held.class_name in self.unsafe else 0)
+            self.journal.over(held.id, ended if not may_repeat(held.terms) else 0)
             return False
         if mend == "STORE" and held.notice is None:
             answer = "delivered"
@@ -259,6 +367,41 @@
             self.discovery.move(discovery)
             self.notices.move(discovery)
 
+    def retune(self, settings: api.Settings, discovery: Address) -> None:
+        """The settings and where discovery is, from now on. What was taken on before keeps its terms."""
+        self.settings = settings
+        self.accepted.retune(settings, wall_clock())
+        self.figures.know(settings.classes)
+        self.tick = (settings.tick or NO_TICK) / 1e6
+        self._post(api.Retuned(settings))
+        self.move(discovery)
+
+    # What operators ask
+
+    def figure_lines(self) -> list[str]:
+        outstanding = len(self.journal.held) - len(self.closing)
+        return self.figures.lines(Gauges(outstanding, len(self.bundles), self.brain.avoided()))
+
+    def knows_host(self, host: str) -> bool:
+        """Listed now, or left out by hand since it was."""
+        return host in self.bundles or host in self.out
+
+    def take_out(self, host: str) -> None:
+        """Leaves a host out until it is brought back, whatever the list says."""
+        if host not in self.out:
+            log.info("host %s is taken out by hand", host)
+            self.out.add(host)
+            self.delivery.drain(host)
+            self._post(api.TakenOut(host))
+
+    def bring_back(self, host: str) -> None:
+        if host in self.out:
+            log.info("host %s is brought back by hand", host)
+            self.out.discard(host)
+            if host in self.entries:
+                self._place(*self.entries[host])
+            self._post(api.BroughtBack(host))
+
     def listed(self, listing: api.Listing, addresses: Mapping[str, Address]) -> None:
         if listing.form is api.Form.FULL:
             for host in set(self.bundles) - set(addresses):
@@ -270,13 +413,18 @@
             if entry.state is api.State.GONE:
                 self._forget(host)
                 continue
-            self.delivery.place(host, addresses[host], entry.destination)
-            if entry.state is api.State.DRAINING:
-                self.delivery.drain(host)
-            kind = self.settings.kinds.get(entry.kind or "")
-            self.bundles[host] = (kind and kind.bundle_max) or 1
+            self._place(entry, addresses[host])
         self._post(listing)
 
+    def _place(self, entry: api.Entry, address: Address) -> None:
+        host = entry.endpoint
+        self.entries[host] = entry, address
+        self.delivery.place(host, address, entry.destination)
+        if entry.state is api.State.DRAINING or host in self.out:
+            self.delivery.drain(host)
+        kind = self.settings.kinds.get(entry.kind or "")
+        self.bundles[host] = (kind and kind.bundle_max) or 1
+
     def _unsettle(self, destination: int) -> None:
         """What was decided for it before may hold no more: a wait, a drain, a failure."""
         if self.record is not None:
@@ -285,9 +433,14 @@
     def _forget(self, host: str) -> None:
         self.delivery.forget(host)
         self.bundles.pop(host, None)
+        self.entries.pop(host, None)
 
     def ended(self, held: Held, host: str, ending: Ending) -> None:
         """An attempt's outcome."""
+        if self.away is not None:
+            self.away.ended(held.id, host, ending)
+            return
+        self.abroad.pop(held.id, None)
         if ending.over:
             self._close(held)
         else:
@@ -306,7 +459,8 @@
 
     def _close(self, held: Held) -> None:
         """Delivered: nothing more is owed. The journal keeps it until the store of record has that."""
-        remembered = DELIVERED if held.class_name in self.unsafe else 0
+        remembered = DELIVERED if not may_repeat(held.terms) else 0
+        self.figures.ended(held.class_name, End.SUCCEEDED)
         if self.record is None:
             self.journal.over(held.id, remembered)
             return
@@ -325,6 +479,9 @@
 
     def doubted(self, message: str, host: str, ran_at: int) -> None:
         """A refusal that was heard for it was another call's answer, or may have been: it may have run."""
+        if self.away is not None:
+            self.away.doubted(message, host, ran_at)
+            return
         held = self.journal.held.get(message)
         if held is not None and held.notice is None:
             self.journal.doubt(held, host, ran_at)
@@ -335,7 +492,9 @@
         held = self.journal.held.get(message)
         failed = held is not None and held.notice is not None and held.notice["status"] == "undeliverable"
         # A refusal promised that coming again does no harm: the id of one that was deferred is free again.
-        remembered = failed and held is not None and held.class_name in self.unsafe
+        remembered = failed and held is not None and not may_repeat(held.terms)
+        if held is not None:
+            self.figures.ended(held.class_name, End.ABORTED if failed else End.DECLINED)
         self.journal.over(message, FAILED if remembered else 0)
         if self.record is not None:
             self.record.told(message)
@@ -352,7 +511,7 @@
 
     def _turn(self) -> None:
         self.turn_due = False
-        if self.stopped:
+        if self.stopped or self.away is not None:
             return
         self.now = self._clock()
         self.last_turn = asyncio.get_running_loop().time()
@@ -396,7 +555,7 @@
         left = min(held.deadline for held in messages) - wall_clock() + (LATE_ANSWER if batch else 0)
         timeout = max(0, min(left, max(send.timeout for send in sends)))
         limits = [send.most_idle for send in sends if send.most_idle is not None]
-        unsafe = any(held.class_name in self.unsafe for held in messages)
+        unsafe = any(not may_repeat(held.terms) for held in messages)
         terms = Terms(timeout / 1e6, batch, unsafe, min(limits, default=None))
         if self.record is None:
             self.delivery.send(host, messages, terms)
@@ -450,6 +609,8 @@
     def _answer_end(
         self, message: str, answer: Callable[[int, int], None], status: int, again_ms: int
     ) -> None:
+        if (held := self.journal.held.get(message)) is not None:
+            self.figures.ended(held.class_name, End.ABORTED if status == FAILED else End.DECLINED)
         self.journal.over(message)
         answer(status, again_ms)
         self._post(api.Noticed(message))
--- /dev/null
+++ b/loftrelay/core/handover.py
@@ -0,0 +1,87 @@
+"""What one process tells the next beside the journal, as JSON and back. It does no input or output."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from loftrelay.core.ports import Ending
+from loftrelay.net.address import Address
+from mulleinlead import interface as api
+from mulleinlead import snapshot
+from mulleinlead.brain import Brain
+
+
+class HandoverError(ValueError):
+    """What was told can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Handed:
+    module: Brain
+    events: list[api.Event]  # that it has not seen yet
+    entries: list[tuple[api.Entry, Address]]  # the list of hosts
+    revision: int | None  # of that list
+    discovery: Address
+    destinations: set[int]  # that a list has named
+    sent_at: dict[str, int]  # of attempts that are out, on the clock that all processes share
+    dropped: dict[str, tuple[tuple[Any, ...], int]]  # classes that are taken for a while yet
+
+
+def tell(
+    module: Brain,
+    events: Iterable[api.Event],
+    entries: Iterable[tuple[api.Entry, Address]],
+    revision: int | None,
+    discovery: Address,
+    destinations: Iterable[int],
+    sent_at: Mapping[str, int],
+    dropped: Mapping[str, tuple[tuple[Any, ...], int]],
+) -> dict[str, Any]:
+    return {
+        "module": snapshot.write(module, events),
+        "list": [
+            [list(address), e.endpoint, e.destination, e.state.name, e.zone, e.kind, e.rate]
+            for e, address in entries
+        ],
+        "revision": revision,
+        "discovery": list(discovery),
+        "destinations": sorted(destinations),
+        "sent_at": dict(sent_at),
+        "dropped": {name: [list(packed), until] for name, (packed, until) in dropped.items()},
+    }
+
+
+def read(told: Mapping[str, Any], seed: int) -> Handed:
+    """Raises HandoverError."""
+    try:
+        module, events = snapshot.read(told["module"], seed)
+        host, port = told["discovery"]
+        return Handed(
+            module, events,
+            [
+                (api.Entry(name, int(cell), api.State[state], zone, kind, rate), (str(at[0]), int(at[1])))
+                for at, name, cell, state, zone, kind, rate in told["list"]
+            ],
+            told["revision"], (str(host), int(port)), set(map(int, told["destinations"])),
+            {str(name): int(at) for name, at in told["sent_at"].items()},
+            {str(name): (tuple(packed), int(until)) for name, (packed, until) in told["dropped"].items()},
+        )  # fmt: skip
+    except (snapshot.SnapshotError, KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise HandoverError(f"what was handed over can't be used: {error!r}") from error
+
+
+def tell_ending(ending: Ending) -> list[Any]:
+    return [ending.result.name, ending.over, ending.expired, ending.wait, ending.idle]
+
+
+def read_ending(told: list[Any]) -> Ending:
+    """Raises HandoverError."""
+    try:
+        result, over, expired, wait, idle = told
+        return Ending(
+            api.Result[result], bool(over), bool(expired), int(wait), None if idle is None else int(idle)
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise HandoverError(f"an outcome can't be read: {error!r}") from error
--- a/loftrelay/core/message.py
+++ b/loftrelay/core/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -33,3 +34,4 @@
     ran_at: int | None = None  # the first attempt that may have run, and where
     ran_on: str | None = None
     notice: dict[str, Any] | None = None  # its end, until the platform has heard it
+    terms: Sequence[Any] | None = None  # taken on under (core/terms.py); None: an older program took it on
--- /dev/null
+++ b/loftrelay/core/terms.py
@@ -0,0 +1,73 @@
+"""The terms that a message is taken on under, as the journal tells them, and the classes that are accepted.
+
+It does no input or output.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from functools import lru_cache
+from typing import Any
+
+from mulleinlead import interface as api
+
+HARMLESS = (api.Effect.SAFE.name, api.Effect.KEYED.name)
+# Clients go on using a class that was dropped until they have heard of it, and then hand in once more what
+# was refused: it is taken under its old terms for so long (microseconds).
+LEAST_GRACE = 5_000_000
+
+
+def pack(about: api.MessageClass, max_attempts: int | None) -> tuple[Any, ...]:
+    return (
+        about.effect.name, about.scope, about.window, about.aim, about.deadline, about.worth,
+        about.late_worth, about.in_order, max_attempts,
+    )  # fmt: skip
+
+
+def unpack(class_name: str, packed: Sequence[Any]) -> api.MessageTerms:
+    return _unpack(class_name, tuple(packed))
+
+
+@lru_cache(maxsize=256)
+def _unpack(class_name: str, packed: tuple[Any, ...]) -> api.MessageTerms:
+    effect, *rest, max_attempts = packed
+    return api.MessageTerms(api.MessageClass(class_name, api.Effect[effect], *rest), max_attempts)
+
+
+def may_repeat(packed: Sequence[Any] | None) -> bool:
+    """Whether a message of these terms may run twice. Without terms nobody knows."""
+    return packed is not None and packed[0] in HARMLESS
+
+
+class Accepted:
+    """The classes that messages may be handed in under: those in force, and for a while those dropped."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.in_force = settings
+        self.dropped: dict[str, tuple[tuple[Any, ...], int]] = {}  # with when it is turned away
+
+    def retune(self, settings: api.Settings, now: int) -> None:
+        old = self.in_force
+        self.in_force = settings
+        for name, about in old.classes.items():
+            if name not in settings.classes:
+                grace = max(LEAST_GRACE, about.deadline or 0)
+                self.dropped[name] = pack(about, old.max_attempts), now + grace
+        for name in settings.classes:
+            self.dropped.pop(name, None)
+
+    def terms(self, class_name: str, now: int) -> tuple[Any, ...] | None:
+        """None for a class that is not taken."""
+        if (about := self.in_force.classes.get(class_name)) is not None:
+            return pack(about, self.in_force.max_attempts)
+        packed, until = self.dropped.get(class_name, ((), 0))
+        if until <= now:
+            self.dropped.pop(class_name, None)
+            return None
+        return packed
+
+    def about(self, class_name: str, now: int) -> api.MessageClass | None:
+        if (about := self.in_force.classes.get(class_name)) is not None:
+            return about
+        packed = self.terms(class_name, now)
+        return unpack(class_name, packed).about if packed is not None else None
--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -88,6 +88,7 @@
         tried: Callable[[Held, str], None],
         ended: Callable[[Held, str, Ending], None],
         doubted: Callable[[str, str, int], None],
+        forwarded: Callable[[int], None] = lambda messages: None,
     ) -> None:
         told = (idle_limit or NO_IDLE) - IDLE_MARGIN
         limits = replace(
@@ -100,11 +101,12 @@
         self.tried = tried
         self.ended = ended
         self.doubted = doubted
+        self.forwarded = forwarded
         self.addresses: dict[str, Address] = {}
         self.lines: dict[int, Line] = {}
         self.opening: dict[int, asyncio.Task[None]] = {}
         self.waiting: dict[int, Call] = {}
-        self.calls: set[asyncio.Task[None]] = set()
+        self.calls: dict[asyncio.Task[None], Call] = {}
         self.number = 0
         self.clock: asyncio.TimerHandle | None = None
         self.clock_due = 0
@@ -133,9 +135,22 @@
 
     def send(self, host: str, messages: list[Held], terms: Terms) -> None:
         self.number += 1
-        call = asyncio.create_task(self._call(Call(self.number, host, messages, terms)))
-        self.calls.add(call)
-        call.add_done_callback(self.calls.discard)
+        call = Call(self.number, host, messages, terms)
+        task = asyncio.create_task(self._call(call))
+        self.calls[task] = call
+        task.add_done_callback(self.calls.pop)
+
+    def recall(self) -> list[tuple[Held, str]]:
+        back = [(task, call) for task, call in self.calls.items() if not call.asked]
+        for task, _ in back:
+            task.cancel()  # it ends with no outcome
+        return [(message, call.host) for _, call in back for message in call.messages]
+
+    def close_all_idle(self) -> None:
+        """Nothing more will be sent: what stands idle goes."""
+        for number, line in list(self.lines.items()):
+            if not line.asked:
+                self._forget(number)
 
     def close(self) -> None:
         self.closing = True
@@ -278,7 +293,8 @@
             headers["Content-Type"] = "application/json"
             body, path = json.dumps(rows, separators=(",", ":")).encode(), "/v1/messages:batch"
         headers["Content-Length"] = str(len(body))
-        return await connection.request("POST", path, headers, body, STALL)
+        whole = partial(self.forwarded, len(messages))
+        return await connection.request("POST", path, headers, body, STALL, whole)
 
     def _answered(self, call: Call, number: int, answer: Answer, ids: list[str]) -> dict[str, Ending]:
         """The answer is whole."""
--- /dev/null
+++ b/loftrelay/fronts/control/relay.py
@@ -0,0 +1,73 @@
+"""What operators may ask, carried out on one relay's engine."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from typing import Protocol
+
+from loftrelay.core.engine import Engine
+from loftrelay.figures.registry import Figures, Gauges
+from loftrelay.fronts.control.server import Done
+
+log = logging.getLogger(__name__)
+
+
+class Store(Protocol):
+    """Keeps the hosts that are out over restarts. Raises OSError."""
+
+    def load(self) -> set[str]: ...
+    def save(self, hosts: Iterable[str]) -> None: ...
+
+
+class Elsewhere(Protocol):
+    """Has a change made by the process that owns the relay now, or will in a moment."""
+
+    def change(self, host: str, out: bool, done: Done) -> None: ...
+
+
+class Relay:
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.engine: Engine | None = None  # none before it is loaded
+        self.elsewhere: Elsewhere | None = None
+        self.serving = False
+
+    @property
+    def ready(self) -> bool:
+        return self.serving
+
+    def figures(self) -> list[str]:
+        return Figures().lines(Gauges(0, 0, 0)) if self.engine is None else self.engine.figure_lines()
+
+    def take_out(self, host: str, done: Done) -> None:
+        self.change(host, True, done)
+
+    def bring_back(self, host: str, done: Done) -> None:
+        self.change(host, False, done)
+
+    def change(self, host: str, out: bool, done: Done) -> None:
+        """Stands on disk before it is told, so that no restart lifts it."""
+        if self.elsewhere is not None:
+            self.elsewhere.change(host, out, done)
+            return
+        done(self._change(host, out))
+
+    def _change(self, host: str, out: bool) -> str | None:
+        engine = self.engine
+        if engine is None:
+            return "not ready"
+        if not engine.knows_host(host):
+            return f"no host has the id {host}"
+        if (host in engine.out) == out:
+            return None
+        try:
+            self.store.save(engine.out | {host} if out else engine.out - {host})
+        except OSError as error:
+            log.error("which hosts are out can't be written: %s", error)
+            return f"it can't be written down: {error}"
+        if out:
+            engine.take_out(host)
+        else:
+            engine.bring_back(host)
+        return None
--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -14,9 +14,9 @@
 from loftrelay.core.clock import wall_clock
 from loftrelay.core.engine import Engine
 from loftrelay.core.message import Held
+from loftrelay.core.terms import Accepted
 from loftrelay.net.address import Address
 from loftrelay.net.http import unread
-from mulleinlead.interface import Settings
 
 MOST_BODY = 64 << 10
 MOST_DRAINED = 1 << 20  # bytes that a client may still send once it is turned away
@@ -57,11 +57,11 @@
         raise BadRequest(413, "a body holds at most 64 KiB")
 
 
-def read_message(told: Settings, request: h11.Request, arrived: int, body: bytes) -> Held:
+def read_message(accepted: Accepted, request: h11.Request, arrived: int, body: bytes) -> Held:
     """The message that a request hands in. Raises BadRequest."""
     headers = {name.decode(): value.decode("latin-1") for name, value in request.headers}
     path = [unquote(part) for part in request.target.decode("latin-1").partition("?")[0].split("/")[1:]]
-    about = told.classes.get(path[0])
+    about = accepted.about(path[0], arrived)
     if about is None or len(path) > 2:
         raise BadRequest(404, "no such path")
     if request.method != b"POST":
@@ -71,7 +71,8 @@
     identity, tenant = headers.get("request-id", ""), headers.get("tenant")
     if not IDENTIFIER.fullmatch(identity):
         raise BadRequest(400, "Request-Id is missing or malformed")
-    if told.tenants and tenant not in told.tenants:
+    tenants = accepted.in_force.tenants
+    if tenants and tenant not in tenants:
         raise BadRequest(400, "Tenant is missing or unknown")
     timeout = headers.get("request-timeout-ms", "")
     if not NUMBER.fullmatch(timeout):
@@ -211,7 +212,7 @@
             self._answer(200)
             return
         engine = self.server.engine
-        held = read_message(engine.settings, self.request, wall_clock(), bytes(self.body))
+        held = read_message(engine.accepted, self.request, wall_clock(), bytes(self.body))
         if engine.awaits(held.id):
             raise BadRequest(409, "a request with this id is open")
         if (known := engine.answer_to(held.id)) is not None:
--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -56,7 +56,8 @@
 class Journal:
     """The messages that are not over, in memory and on disk alike."""
 
-    def __init__(self, folder: Path, disk_bytes: int) -> None:
+    def __init__(self, folder: Path, disk_bytes: int, still: bool = False) -> None:
+        """`still`: another process owns it. It is read, and not touched before `go_on`."""
         self.folder = folder
         self.disk_bytes = disk_bytes
         self.held: dict[str, Held] = {}
@@ -70,13 +71,20 @@
         self.live = 0  # bytes of the records that tell the held messages
         self.file = -1
         self.number = 0
-        self._load()
-        old = len(self.segments)
+        self._load(still)
+        if not still:
+            old = len(self.segments)
+            self._next_segment()
+            self._drop(old)
+
+    def go_on(self) -> None:
+        """It is this process's own from now on."""
         self._next_segment()
-        self._drop(old)
 
     def close(self) -> None:
-        os.close(self.file)
+        if self.file >= 0:
+            os.close(self.file)
+            self.file = -1
 
     # What happens to a message
 
@@ -256,7 +264,7 @@
                 return
             self.bytes -= self.segments.pop(oldest).size
 
-    def _load(self) -> None:
+    def _load(self, still: bool) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
         for path in sorted(self.folder.glob("[0-9]" * 10 + ".log")):
             segment = self.segments[int(path.stem)] = Segment(path)
@@ -267,7 +275,8 @@
             self.bytes += segment.size
             if segment.size < len(data):
                 log.warning("%s: cut at byte %d of %d", path.name, segment.size, len(data))
-                os.truncate(path, segment.size)
+                if not still:
+                    os.truncate(path, segment.size)
 
 
 def _records(data: bytes) -> Iterator[tuple[dict[str, Any], bytes, int]]:
--- a/loftrelay/membership/discovery.py
+++ b/loftrelay/membership/discovery.py
@@ -80,6 +80,16 @@
         self.address, self.caller, self.revision, self.task = address, Caller(address), None, None
         self.watch()
 
+    def pause(self) -> None:
+        """Until the next `watch`, which goes on from the same revision."""
+        self.close()
+        self.task, self.caller = None, Caller(self.address)
+
+    def resume(self, revision: int | None) -> None:
+        """Goes on where another process stopped."""
+        self.revision = revision
+        self.watch()
+
     def close(self) -> None:
         if self.task is not None:
             self.task.cancel()
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -74,6 +74,7 @@
         self.unasked: Callable[[Unasked], None] | None = (
             None  # told once of what comes while nothing is asked
         )
+        self.whole: Callable[[], None] | None = None  # told once the request that is out is written whole
         self._head = bytearray()
         self._response: h11.Response | None = None
         self._body = bytearray()
@@ -99,6 +100,12 @@
     def resume_writing(self) -> None:
         self.written = True
         self.written_at = asyncio.get_running_loop().time()
+        self._tell_whole()
+
+    def _tell_whole(self) -> None:
+        told, self.whole = self.whole, None
+        if told is not None:
+            told()
 
     @property
     def says_delivered(self) -> bool:
@@ -114,10 +121,17 @@
         return not unread(self.transport)
 
     async def request(
-        self, method: str, target: str, headers: dict[str, str], body: bytes = b"", stall: float | None = None
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        stall: float | None = None,
+        whole: Callable[[], None] | None = None,
     ) -> Answer:
         """Raises Unusable if it is found to be of no use before a byte is written; ConnectionBroken if no
-        whole answer comes, also when one that has begun is not whole after `stall` seconds.
+        whole answer comes, also when one that has begun is not whole after `stall` seconds. Calls `whole`
+        once the system has the request's last byte.
         If this is cancelled, the connection must be closed."""
         assert self.transport is not None
         if not self.usable():
@@ -128,7 +142,10 @@
         data = b"".join(self.wire.send(event) or b"" for event in (head, h11.Data(body), h11.EndOfMessage()))
         self.written, self.heard_at = True, 0.0  # unless pause_writing says otherwise at once
         self.written_at = asyncio.get_running_loop().time()
+        self.whole = whole
         self.transport.write(data)
+        if self.written and not self.transport.is_closing():
+            self._tell_whole()
         return await self.answer
 
     def data_received(self, data: bytes) -> None:
--- a/loftrelay/recording.py
+++ b/loftrelay/recording.py
@@ -13,26 +13,28 @@
 from loftrelay.record.settings import RecordSettings
 from loftrelay.record.store import Unavailable
 from loftrelay.record.writer import Writer
-from mulleinlead.interface import Effect
+from mulleinlead.interface import Effect, Settings
 
 log = logging.getLogger(__name__)
 
 RETRY = 0.5  # seconds between looks for a store that is away at the start
 
 
-def modes(config: Config, told: RecordSettings) -> dict[str, Mode]:
+def modes(settings: Settings, told: RecordSettings) -> dict[str, Mode]:
     """How each class is recorded: by its effect."""
     harmless = (Effect.SAFE, Effect.KEYED)
     return {
         name: told.repeatable if about.effect in harmless else told.unsafe
-        for name, about in config.settings.classes.items()
+        for name, about in settings.classes.items()
     }
 
 
 async def open_record(config: Config, told: RecordSettings, journal: Journal) -> Recorder:
     """The store of record, read. Waits for one that is away, and raises Unusable for one that stays so."""
     writer = Writer(opener(told), told.most_queued, told.most_in_commit)
-    recorder = Recorder(writer, config.name, modes(config, told), told.memory, told.keep, told.patience)
+    recorder = Recorder(
+        writer, config.name, modes(config.settings, told), told.memory, told.keep, told.patience
+    )
     while True:
         try:
             await recorder.load(list(journal.held))
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -155,6 +155,11 @@
     usual: float = 0.0
     rate: float = 0.0  # told
     used_at: int = NEVER  # when its connections last carried something
+    out: bool = False  # the operator leaves it out
+
+    @property
+    def serves(self) -> bool:
+        return self.state is State.LISTED and not self.out
 
 
 @dataclass(slots=True)
@@ -186,6 +191,7 @@
     arrived: int
     deadline: int
     key: Key | None
+    max_attempts: int
     depth: int = 0  # calls made so far
     not_before: int = 0
     call: Call | None = None
@@ -198,19 +204,10 @@
     """One relay's decisions. Feed each batch to handle(); carry out the actions in order."""
 
     def __init__(self, seed: int, settings: api.Settings) -> None:
-        self.told = settings
+        self._tune(settings)
         self.random = random.Random(seed)
         self.now = 0
         self.actions: list[api.Action] = []
-        self.slots = max(1, settings.slots or NO_SLOTS)
-        self.max_attempts = max(1, settings.max_attempts or NO_ATTEMPTS)
-        self.max_held = settings.max_held or NO_HELD
-        self.relays = max(1, settings.instances or 1)
-        self.alone = CROWD / (CROWD + self.relays - 1)
-        self.cold = settings.cold or NO_COLD
-        self.cold_from = settings.cold_from or NO_COLD_FROM
-        self.multiple = settings.fall_multiple or NO_MULTIPLE
-        self.tip_after = settings.tip_after or NO_TIP
         self.destinations: dict[int, Destination] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[str, Message] = {}
@@ -222,8 +219,8 @@
         self.started = NEVER
         self.backlog: dict[int, Destination] = {}  # destinations with waiting messages
         self.wear: dict[int, tuple[Rate, Rate]] = {}  # octave of idle time -> calls, and those reset
-        self.idle_told = settings.idle_limit or NO_IDLE
         self.calls_out = 0
+        self.out: set[str] = set()  # endpoints that the operator leaves out
         self.alarms: list[tuple[int, int, Message | Key | None]] = []
         self.alarm_number = 0
         self.armed = NEVER
@@ -231,6 +228,19 @@
         self.ask_at = 0 if settings.list_on_request else NEVER
         self.ask_failures = 0
 
+    def _tune(self, settings: api.Settings) -> None:
+        """Messages keep the terms that they were taken on under, endpoints the kind they were listed as."""
+        self.told = settings
+        self.slots = max(1, settings.slots or NO_SLOTS)
+        self.max_held = settings.max_held or NO_HELD
+        self.relays = max(1, settings.instances or 1)
+        self.alone = CROWD / (CROWD + self.relays - 1)
+        self.cold = settings.cold or NO_COLD
+        self.cold_from = settings.cold_from or NO_COLD_FROM
+        self.multiple = settings.fall_multiple or NO_MULTIPLE
+        self.tip_after = settings.tip_after or NO_TIP
+        self.idle_told = settings.idle_limit or NO_IDLE
+
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         """Absorbs the whole batch, so that each wait told in it is heeded, then dispatches once."""
         self.now, self.actions, self.wake = now, [], NEVER
@@ -270,6 +280,14 @@
                 self._alarm(key.rest_until, key)
             case api.Doubted():
                 self._doubt(event)
+            case api.TakenOut(name):
+                self.out.add(name)
+                if endpoint := self.endpoints.get(name):
+                    endpoint.out = True
+            case api.BroughtBack(name):
+                self._bring_back(name)
+            case api.Retuned(settings):
+                self._tune(settings)
             case api.Noticed(name):
                 if message := self.unnoticed.pop(name, None):
                     self._leave_line(message)
@@ -313,23 +331,45 @@
                 max(1, (kind and kind.bundle_max) or 1),
                 self.told.zone_fees.get(entry.zone or "", 0.0) if apart else 0.0,
             )  # fmt: skip
+            endpoint.out = entry.endpoint in self.out
             self.endpoints[entry.endpoint] = endpoint
             destination.endpoints.append(endpoint)
         endpoint.state = entry.state
         if entry.rate and self.told.told_rates in ("nominal", "rough"):
             endpoint.rate = endpoint.gate.told = entry.rate
 
+    def _bring_back(self, name: str) -> None:
+        """Cold, like a destination after an outage: it was restarted while it was out."""
+        endpoint = self.endpoints.get(name)
+        if name in self.out and endpoint is not None:
+            endpoint.out, endpoint.failures, endpoint.avoid_until = False, 0, 0
+            gate, siblings = endpoint.gate, endpoint.destination.endpoints
+            if not any(e.serves for e in siblings if e is not endpoint and e.gate is gate):
+                gate.outage, gate.errors, gate.failures, gate.window = False, 0.0, 0, max(1.0, gate.window)
+            gate.cold_since = self.now
+        self.out.discard(name)
+
+    def avoided(self) -> int:
+        """Listed endpoints that are left out now, by hand or for what was seen of them."""
+        return sum(
+            e.state is not State.GONE and (e.out or e.gate.outage or e.avoid_until > self.now)
+            for e in self.endpoints.values()
+        )
+
     # A message arrives
 
     def _accept(self, event: api.Submit, age: int) -> Message:
-        about = self.told.classes.get(event.class_name) or api.MessageClass(
+        terms = event.terms
+        about = (terms and terms.about) or self.told.classes.get(event.class_name) or api.MessageClass(
             event.class_name, Effect.UNKNOWN, None, None, None, None, None, None, False
-        )
+        )  # fmt: skip
+        most = (terms.max_attempts if terms else self.told.max_attempts) or NO_ATTEMPTS
         destination = self.destinations.setdefault(event.destination, Destination(event.destination))
         worth = (1.0 if about.worth is None else about.worth) * self._share_worth(event.tenant)
         message = Message(
-            event.message, about, destination, worth, self.now, self.now + max(0, event.remaining), None
-        )
+            event.message, about, destination, worth, self.now, self.now + max(0, event.remaining), None,
+            max(1, most),
+        )  # fmt: skip
         self.messages[event.message] = message
         # What a restart brings back has come over longer than a moment, and passed for a rush.
         weight = LEAST_SPAN / max(LEAST_SPAN, age)
@@ -443,13 +483,13 @@
 
     def _may_send(self, message: Message, endpoint: Endpoint) -> bool:
         """Rules 'no effect twice' and 'drains': may this message go to this endpoint now?"""
-        if message.over or message.call is not None or endpoint.state is not State.LISTED:
+        if message.over or message.call is not None or not endpoint.serves:
             return False
         if message.ran_at is None:
             # An unsafe message whose try fails is lost: it lets others find out whether a sick place is back.
             calm = endpoint.gate.errors < WARY or self.now > endpoint.gate.failed_at + LONGEST_PAUSE
             # Trouble: it went back to a dead endpoint each time the pause was over, past a sound sibling.
-            siblings = (e for e in endpoint.destination.endpoints if e.state is State.LISTED)
+            siblings = (e for e in endpoint.destination.endpoints if e.serves)
             calm = calm and (endpoint.failures == 0 or all(e.failures for e in siblings))
             return calm or message.about.effect in (Effect.SAFE, Effect.KEYED)
         if message.about.effect is Effect.SAFE:
@@ -512,7 +552,7 @@
         """Messages a second that this relay is given for a gate: parts that add up at any fleet size."""
         rate = destination.demand.read(self.now) / self._known()
         if gate is not destination.gate:
-            parts = [(e.rate or 1.0, e.gate) for e in destination.endpoints if e.state is State.LISTED]
+            parts = [(e.rate or 1.0, e.gate) for e in destination.endpoints if e.serves]
             rate *= sum(w for w, g in parts if g is gate) / (sum(w for w, _ in parts) or 1.0)
         return (rate + gate.told / self.relays) / 2 if gate.told else rate  # parts of traffic and of limit
 
@@ -551,7 +591,7 @@
         """The best message of a destination that may go now, and where."""
         open_endpoints: list[Endpoint] = []
         for endpoint in destination.endpoints:
-            if endpoint.state is State.LISTED:
+            if endpoint.serves:
                 opens = self._opens(endpoint.gate, destination)
                 if opens <= self.now:
                     open_endpoints.append(endpoint)
@@ -819,7 +859,7 @@
             endpoint.avoid_until = self.now + min(self._backoff(endpoint.failures - 1), LONGEST_PAUSE)
         if gate.failures == 1:
             gate.failing_since = call.sent_at
-        siblings = (e for e in endpoint.destination.endpoints if e.state is State.LISTED and e.gate is gate)
+        siblings = (e for e in endpoint.destination.endpoints if e.serves and e.gate is gate)
         if call.sent_at < gate.narrowed_at:
             return  # sent before the last narrowing, so it says nothing of the narrowed window
         gate.narrowed_at = self.now
@@ -869,7 +909,7 @@
         if event.postponed:
             message.depth -= 1
         wait = 0 if event.result is Result.NOT_SENT else max(self._backoff(message.depth - 1), event.wait)
-        siblings = (e for e in message.destination.endpoints if e.failures == 0 and e.state is State.LISTED)
+        siblings = (e for e in message.destination.endpoints if e.failures == 0 and e.serves)
         if event.result is Result.NO_CONNECTION and any(siblings):
             wait = 0  # trouble: endpoints gone before the list says so; a sibling takes it at once
         message.not_before = self.now + max(wait, event.postponed)
@@ -883,7 +923,7 @@
         gone = (unsafe and message.ran_at is not None) or message.not_before >= min(
             ends, self._last_send(message)
         )
-        if not gone and message.depth < self.max_attempts:
+        if not gone and message.depth < message.max_attempts:
             self._hold(message)
         elif not gone and self._may_refuse(message):
             self._finish(message, api.Refuse(message.name, 0))
--- a/mulleinlead/interface.py
+++ b/mulleinlead/interface.py
@@ -64,6 +64,14 @@
     in_order: bool
 
 
+@dataclass(slots=True, frozen=True)
+class MessageTerms:
+    """What a message was taken on under, and keeps whatever the settings say later."""
+
+    about: MessageClass
+    max_attempts: int | None
+
+
 @dataclass(slots=True, frozen=True)
 class Tenant:
     name: str
@@ -139,6 +147,7 @@
     tenant: str | None
     remaining: int
     order_key: str | None
+    terms: MessageTerms | None = None  # under which it was taken on; None: those in force
 
 
 @dataclass(slots=True, frozen=True)
@@ -222,9 +231,30 @@
     elapsed: int
 
 
+@dataclass(slots=True, frozen=True)
+class TakenOut:
+    """The operator leaves this endpoint out, whatever the list says, until BroughtBack."""
+
+    endpoint: str
+
+
+@dataclass(slots=True, frozen=True)
+class BroughtBack:
+    """It may serve again. It was restarted meanwhile, so that it is cold."""
+
+    endpoint: str
+
+
+@dataclass(slots=True, frozen=True)
+class Retuned:
+    """The settings from now on. Messages taken on before keep their terms."""
+
+    settings: Settings
+
+
 Event = (
     Listing | Submit | Recovered | KeyRest | Noticed | Doubted | Outcome | Started | Withdrawn | Timer
-    | ProbeResult
+    | ProbeResult | TakenOut | BroughtBack | Retuned
 )
 
 # Actions
--- a/tests/delivery/test_settings.py
+++ b/tests/delivery/test_settings.py
@@ -94,7 +94,8 @@
     path.write_text("most_connecting = -3\n")
     config = tmp_path / "config.json"
     config.write_text(
-        '{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","settings":{},"known":{},"limits":{}}'
+        '{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","known":{},"limits":{},'
+        '"settings":{"classes":[{"name":"status","effect":"idempotent","deadline":1000000}]}}'
     )
     done = subprocess.run(
         [sys.executable, "-m", "loftrelay", "--connections", str(path)], cwd=ROOT, capture_output=True,
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -88,7 +88,7 @@
         ("[]", "JSON object"),
         ('{"name":"n","settings":{}}', "listen"),
         ('{"name":"n","listen":"here","discovery":"127.0.0.1:1","settings":{}}', "'here'"),
-        ('{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":7}', "bad value"),
+        ('{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":7}', "not an object"),
         ('{"name":"n","listen":"a:0","discovery":"a:1","seed":"z","settings":{}}', "bad value"),
     ],
 )
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -148,6 +148,7 @@
         self.program = ["-m", "loftrelay"]
         self.arguments: list[str] = []
         self.name_ = "n1"
+        self.control = ""  # where operators call; empty: nowhere
         self.noticed_at: dict[str, float] = {}  # message -> when its notice came (Unix time)
         self.process: asyncio.subprocess.Process | None = None
         self.address = ("", 0)
@@ -232,6 +233,8 @@
             "name": self.name_, "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d2",
             "limits": self.limits, "known": self.whole_list(), "settings": self.settings,
         }  # fmt: skip
+        if self.control:
+            config["control"] = self.control
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         return path
@@ -291,6 +294,17 @@
                 writer.close()
         return int(start.split()[1]), headers, body
 
+    async def call(self, line: str) -> str:
+        """One call at the operators' door."""
+        async with asyncio.timeout(HANG):
+            host, _, port = self.control.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            try:
+                writer.write(line.encode() + b"\n")
+                return (await reader.read()).decode()
+            finally:
+                writer.close()
+
     async def hand_in(
         self, name: str, of: str = "status", dest: int = 1, body: bytes = b"hello", **changes: str
     ) -> int:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,16 +11,29 @@
 MAY_IMPORT = {
     "net": set[str](),
     "settings": set[str](),
-    "core": {"net"},
+    "figures": set[str](),
+    "core": {"net", "figures"},
     "journal": {"core"},
     "record": {"core", "settings"},
     "demo": set[str](),
-    "commands": {"record", "demo", "settings"},
+    "commands": {"record", "demo", "settings", "net"},
     "membership": {"core", "net"},
     "delivery": {"core", "net", "settings"},
-    "fronts": {"core", "net"},
+    "fronts": {"core", "net", "figures"},
+    "upgrade": {"core", "net"},
 }  # besides themselves and mulleinlead
-PURE = {"delivery/pools.py", "record/rules.py", "core/ports.py", "core/message.py"}
+PURE = {
+    "delivery/pools.py",
+    "record/rules.py",
+    "core/ports.py",
+    "core/message.py",
+    "core/terms.py",
+    "core/handover.py",
+    "upgrade/rules.py",
+    "figures/registry.py",
+    "fronts/control/protocol.py",
+    "settings/platform.py",
+}
 INPUT_OUTPUT = {"asyncio", "socket", "os", "select", "time", "pathlib", "threading", "subprocess"}
 
 
