--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -12,24 +12,16 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from loftrelay.app import build
-from loftrelay.config import Config, ConfigError, load_config, reload
+from loftrelay.config import Config, load_config
 from loftrelay.delivery.pools import Limits
 from loftrelay.delivery.settings import load_limits
-from loftrelay.fronts.control.relay import Relay
-from loftrelay.fronts.control.server import Door
-from loftrelay.fronts.http.server import Server
-from loftrelay.journal.hosts_out import HostsOut
-from loftrelay.journal.journal import Journal
 from loftrelay.record.settings import RecordSettings, load_record
 from loftrelay.record.store import StoreError
+from loftrelay.service import Service
 from loftrelay.settings.checked import SettingsError
 
 log = logging.getLogger("loftrelay")
 
-# After SIGTERM, in seconds: calls are begun until, messages taken on until, the process ends at the latest.
-# Clients have nowhere else to go before the restart, so they are served for as long as there is time.
-BEGIN, TAKE, END = 2.8, 3.45, 3.6
 LINES, SPAN = 200, 10.0  # log lines in a span; what comes beyond is counted, not written
 
 
@@ -51,63 +43,12 @@
 
 
 async def serve(config: Config, connections: Limits, record: RecordSettings | None) -> None:
-    stop = asyncio.Event()
+    service = Service(config, connections, record)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    journal = Journal(config.state, config.disk_bytes)
-    recorder = None
-    if record is not None:
-        from loftrelay.recording import open_record  # with its database, only where it is used
-
-        recorder = await open_record(config, record, journal)
-    engine, journal = build(config, connections, journal, recorder)
-    told = config.told
-
-    def read_again() -> None:
-        nonlocal told
-        try:
-            change = reload(os.environ, told)
-        except ConfigError as error:
-            engine.figures.sighup_rejected += 1
-            log.error("the configuration stays as it was: %s", error)
-            return
-        told = change.told
-        if recorder is not None and record is not None:
-            from loftrelay.recording import modes
-
-            recorder.modes = {**recorder.modes, **modes(change.settings, record)}
-        engine.retune(change.settings, change.discovery)
-        engine.figures.sighup_applied += 1
-
-    loop.add_signal_handler(signal.SIGHUP, read_again)
-    relay = Relay(HostsOut(config.state))
-    relay.engine = engine
-    door = Door(relay) if config.control is not None else None
-    if door is not None and config.control is not None:
-        log.info("%s is open to operators on %s:%d", config.name, *await door.listen(config.control))
-    server = Server(engine, config.most_clients)
-    log.info("%s listens on %s:%d", config.name, *await server.listen(config.listen))
-    relay.serving = True
-    await stop.wait()
-    began = loop.time()
-    server.stopping = True
-    await asyncio.sleep(BEGIN)
-    engine.hold()
-    log.info("%s begins no more calls", config.name)
-    await asyncio.sleep(began + TAKE - loop.time())
-    server.close()
-    while loop.time() < began + END and engine.unfinished:
-        await asyncio.sleep(0.02)
-    log.info("%s ends with %d messages in its journal", config.name, len(journal.held))
-    engine.notices.close()
-    engine.discovery.close()
-    engine.delivery.close()
-    if door is not None:
-        door.close()
-    if recorder is not None:
-        await recorder.close()
-    journal.close()
+        loop.add_signal_handler(number, service.terminate)
+    loop.add_signal_handler(signal.SIGHUP, service.read_again)
+    await service.run()
 
 
 def parser() -> argparse.ArgumentParser:
--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -39,6 +41,7 @@
     known: Mapping[str, Any]
     control: Address | None = None  # where operators call; None: no door
     told: Mapping[str, Any] = field(default_factory=dict)  # the file, as it stands
+    accept: int | None = None  # descriptor of a socket that listens already, for all processes of this relay
 
 
 def read_file(environ: Mapping[str, str]) -> dict[str, Any]:
@@ -117,8 +120,24 @@
             known=told.get("known") or {},
             control=parse_address(control) if control else None,
             told=told,
+            accept=_descriptor(environ.get("RELAY_ACCEPT_FD")),
         )
     except KeyError as error:
         raise ConfigError(f"{error.args[0]} is not told, neither in the environment nor in {path}") from error
     except (AttributeError, TypeError, ValueError) as error:
         raise ConfigError(f"{path} holds a bad value: {error}") from error
+
+
+def _descriptor(text: str | None) -> int | None:
+    """Raises ValueError."""
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f"RELAY_ACCEPT_FD = {text!r} is no descriptor")
+    try:
+        with socket.socket(fileno=os.dup(int(text))) as listening:
+            if not listening.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise ValueError(f"RELAY_ACCEPT_FD = {text}: that socket does not listen")
+    except OSError as error:
+        raise ValueError(f"RELAY_ACCEPT_FD = {text} is no socket: {error}") from error
+    return int(text)
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from loftrelay.core.clock import wall_clock
-from loftrelay.core.handover import Handed
+from loftrelay.core.handover import Handed, tell
 from loftrelay.core.message import Held
 from loftrelay.core.ports import (
     Away,
@@ -80,6 +80,7 @@
         self.destinations: set[int] = set()  # that a list has named
         self.stopped = False
         self.away: Away | None = None  # this process decides nothing: who hears what still becomes known
+        self.given = False  # another process owns all that is held here
         self.abroad: dict[str, str] = {}  # messages out in calls of the process before this one, and where to
 
     def connect(
@@ -241,6 +242,13 @@
         self.notices.move(self.discovery.address)
         self._post(api.Timer(0))
 
+    def state(self) -> dict[str, Any]:
+        """What the next process needs beside the journal. To be asked while this one stands still."""
+        return tell(
+            self.brain, self.events, self.entries.values(), self.discovery.revision, self.discovery.address,
+            self.destinations, self.sent_at, self.accepted.dropped,
+        )  # fmt: skip
+
     def take_over(
         self, delivery: Delivery, discovery: Directory, notices: NoticeBoard, handed: Handed
     ) -> None:
@@ -379,7 +387,7 @@
     # What operators ask
 
     def figure_lines(self) -> list[str]:
-        outstanding = len(self.journal.held) - len(self.closing)
+        outstanding = 0 if self.given else len(self.journal.held) - len(self.closing)
         return self.figures.lines(Gauges(outstanding, len(self.bundles), self.brain.avoided()))
 
     def knows_host(self, host: str) -> bool:
--- a/loftrelay/core/steps.py
+++ b/loftrelay/core/steps.py
@@ -35,6 +35,10 @@
     "told",  # the platform has answered
 )
 
+# The process that serves passes the first, the one that takes over the others:
+GIVING_STEPS = ("frozen", "told state", "giving", "given", "handed over")
+TAKING_STEPS = ("loaded", "yours", "taken over")
+
 listener: Callable[[str], None] | None = None
 
 
--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import math
+import os
 import re
 import socket
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum, auto
 from http import HTTPStatus
+from typing import Any
 from urllib.parse import unquote
 
 import h11
@@ -92,8 +98,10 @@
 class Client(asyncio.Protocol):
     """One client connection. At every moment it has a time at which it ends if nothing happens: `due`."""
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Server, given: Given | None = None) -> None:
         self.server = server
+        self.given = given  # it comes from another process, and was read so far
+        self.raw = bytearray()  # of the request that is not whole yet
         self.wire = h11.Connection(h11.SERVER)
         self.transport: asyncio.Transport | None = None
         self.request: h11.Request | None = None
@@ -110,6 +118,12 @@
         self.transport = transport
         self._wait(REQUEST_TIME)
         self.server.arrived(self)
+        if self.given is not None:
+            if self.given.kind is not Kind.NEW:
+                self.server.place(self, self.given.kind)
+                self._wait(IDLE_TIME)
+            if self.given.raw:
+                self.data_received(self.given.raw)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.gone(self)
@@ -128,6 +142,7 @@
         if self.pending is not None:
             self._refuse(400, "one request at a time")
             return
+        self.raw += data
         if not self.reading:
             self.reading = True
             if self not in self.server.newcomers:  # a newcomer's time runs from when it connected
@@ -149,6 +164,18 @@
         """Idle, and no request has come that is not read yet: closing that unread would lose it."""
         return self.idle and self.transport is not None and not unread(self.transport)
 
+    @property
+    def may_be_given(self) -> bool:
+        """Nothing of it is under way here, so that another process can go on with the connection."""
+        transport = self.transport
+        return (
+            not self.refused
+            and self.pending is None
+            and transport is not None
+            and not transport.is_closing()
+            and not transport.get_write_buffer_size()
+        )
+
     def overdue(self) -> None:
         if self.refused:
             self.abort()
@@ -198,6 +225,7 @@
                     # Such a client counts wrongly or hides a request behind another: neither is taken on.
                     raise BadRequest(400, "more than one request at a time")
                 self.reading = False
+                self.raw.clear()
                 self._handle()
                 return
             else:
@@ -271,6 +299,32 @@
             self.transport.write(data)
 
 
+class Kind(Enum):
+    """What a client is known by."""
+
+    NEW = auto()  # no whole request has come yet
+    ONCE = auto()
+    REGULAR = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """A client's connection that goes from one process to another."""
+
+    kind: Kind
+    raw: bytes  # of a request that is not whole
+    file: int
+
+    def row(self) -> dict[str, Any]:
+        """All but the descriptor, as JSON."""
+        return {"kind": self.kind.name, "raw": base64.b64encode(self.raw).decode()}
+
+    @classmethod
+    def read(cls, row: Mapping[str, Any], file: int) -> Given:
+        """Raises KeyError or ValueError."""
+        return cls(Kind[row["kind"]], base64.b64decode(row["raw"]), file)
+
+
 class Server:
     def __init__(self, engine: Engine, most_clients: int) -> None:
         self.engine = engine
@@ -283,21 +337,79 @@
         self.stopping = False  # idle connections are kept: no new ones will come
         self.closed = False
         self.listener: asyncio.Server | None = None
-
-    async def listen(self, address: Address) -> Address:
-        """Gives the address in use: port 0 stands for a free one."""
-        loop = asyncio.get_running_loop()
-        listening = socket.create_server(
-            address, family=socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        )
-        # asyncio's backlog is also how many connections one wake accepts: more than there are descriptors
-        # would stop it for a second. The system may queue many more.
-        self.listener = await loop.create_server(lambda: Client(self), sock=listening, backlog=AT_A_TIME)
-        listening.listen(QUEUED)
+        self.inherited: int | None = None
+        self.frozen = False
+        self.sweeping: asyncio.TimerHandle | None = None
+
+    async def listen(self, address: Address, inherited: int | None = None) -> Address:
+        """Gives the address in use: port 0 stands for a free one. `inherited`: the descriptor of a socket
+        that listens already, and is shared with other processes. Raises OSError."""
+        self.inherited = inherited
+        if inherited is not None:
+            listening = socket.socket(fileno=os.dup(inherited))
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            listening = socket.create_server(address, family=family)
+        await self._accept(listening)
         self._sweep()
         host, port = listening.getsockname()[:2]
         return host, port
 
+    async def _accept(self, listening: socket.socket) -> None:
+        # asyncio's backlog is also how many connections one wake accepts: more than there are descriptors
+        # would stop it for a second. The system may queue many more. It would also set the queue's length of
+        # a socket that is another's, so that such a one is made to listen as it did.
+        self.listener = await asyncio.get_running_loop().create_server(
+            lambda: Client(self), sock=listening, backlog=AT_A_TIME
+        )
+        listening.listen(QUEUED)
+
+    # Between two processes
+
+    def freeze(self) -> None:
+        """Takes nobody and reads nothing. What clients write waits in their sockets."""
+        self.frozen = True
+        if self.listener is not None:
+            self.listener.close()
+        for client in self.clients():
+            if client.transport is not None and not client.refused:
+                client.transport.pause_reading()
+
+    async def thaw(self) -> None:
+        self.frozen = False
+        for client in self.clients():
+            if client.transport is not None and not client.refused:
+                client.transport.resume_reading()
+        if self.inherited is not None:
+            await self._accept(socket.socket(fileno=os.dup(self.inherited)))
+
+    def hand(self, give: Callable[[dict[str, Any], int], None]) -> None:
+        """Gives each client that another process can go on with: its row and its descriptor, which is to be
+        duplicated. The rest end here, once what was written to them is sent."""
+        kinds = ((Kind.NEW, self.newcomers), (Kind.ONCE, self.once), (Kind.REGULAR, self.regulars))
+        for kind, clients in kinds:
+            for client in list(clients):
+                transport = client.transport
+                if transport is not None and client.may_be_given:
+                    file = transport.get_extra_info("socket").fileno()
+                    give(Given(kind, bytes(client.raw), file).row(), file)
+                    self.gone(client)
+                    client.refused = True  # here; the connection itself lives on
+                    transport.abort()
+                elif not client.refused:
+                    client.close()
+
+    async def adopt(self, row: Mapping[str, Any], file: int) -> None:
+        """Goes on with a client of another process; the descriptor is this one's own from now on. Raises
+        KeyError or ValueError where the row can't be read: then it is not."""
+        given = Given.read(row, file)
+        sock = socket.socket(fileno=given.file)
+        try:
+            sock.setblocking(False)
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: Client(self, given), sock)
+        except OSError:
+            sock.close()  # it went on the way
+
     def arrived(self, client: Client) -> None:
         self.newcomers[client] = None
         client.since = asyncio.get_running_loop().time()
@@ -323,9 +435,11 @@
         return [*self.newcomers, *self.once, *self.regulars]
 
     def served(self, client: Client) -> None:
-        kind = self.once if client in self.newcomers else self.regulars
+        self.place(client, Kind.ONCE if client in self.newcomers else Kind.REGULAR)
+
+    def place(self, client: Client, kind: Kind) -> None:
         self.gone(client)
-        kind[client] = None
+        (self.once if kind is Kind.ONCE else self.regulars)[client] = None
         client.since = asyncio.get_running_loop().time()
 
     def gone(self, client: Client) -> None:
@@ -335,9 +449,9 @@
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
-        loop.call_later(SWEEP, self._sweep)
+        self.sweeping = loop.call_later(SWEEP, self._sweep)
         for client in self.clients():
-            if client.due <= loop.time():
+            if client.due <= loop.time() and (client.refused or not self.frozen):
                 client.overdue()
 
     def close(self) -> None:
--- /dev/null
+++ b/loftrelay/service.py
@@ -0,0 +1,181 @@
+"""One relay from its start to its end: takes the state over, serves, and hands it on or keeps it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import sys
+from collections.abc import Mapping
+from typing import Any
+
+from loftrelay.app import build
+from loftrelay.config import Config, ConfigError, reload
+from loftrelay.core.steps import reached
+from loftrelay.delivery.pools import Limits
+from loftrelay.fronts.control.relay import Relay
+from loftrelay.fronts.control.server import Door
+from loftrelay.fronts.http.server import Server
+from loftrelay.journal.hosts_out import HostsOut
+from loftrelay.journal.journal import Journal
+from loftrelay.record.settings import RecordSettings
+from loftrelay.upgrade.lock import Lock
+from loftrelay.upgrade.predecessor import Giver
+from loftrelay.upgrade.successor import Taker
+
+log = logging.getLogger("loftrelay")
+
+# After SIGTERM, in seconds: calls are begun until, messages taken on until, the process ends at the latest.
+# Clients have nowhere else to go before the restart, so they are served for as long as there is time.
+BEGIN, TAKE, END = 2.8, 3.45, 3.6
+LOOK = 0.02  # seconds between looks at what is still out
+
+
+class Stopped(Exception):
+    """It was told to end before it served."""
+
+
+class Service:
+    def __init__(self, config: Config, connections: Limits, record: RecordSettings | None) -> None:
+        self.config, self.connections, self.record = config, connections, record
+        self.relay = Relay(HostsOut(config.state))
+        self.told: Mapping[str, Any] = config.told  # the file in force
+        self.ending = asyncio.Event()
+        self.owns = True  # of what it ends with
+        self.to_read = False  # SIGHUP came before anything could be read again
+        self.giver: Giver | None = None
+
+    # Signals
+
+    def terminate(self) -> None:
+        if self.giver is not None:
+            self.giver.told_to_stop()
+        else:
+            self.ending.set()
+
+    def read_again(self) -> None:
+        engine = self.relay.engine
+        if engine is None:
+            self.to_read = True
+            return
+        try:
+            change = reload(os.environ, self.told)
+        except ConfigError as error:
+            engine.figures.sighup_rejected += 1
+            log.error("the configuration stays as it was: %s", error)
+            return
+        self.told = change.told
+        if self.record is not None:
+            from loftrelay.recording import modes
+
+            self.recorder.modes = {**self.recorder.modes, **modes(change.settings, self.record)}
+        engine.retune(change.settings, change.discovery)
+        engine.figures.sighup_applied += 1
+
+    # From start to end
+
+    async def run(self) -> None:
+        """Raises OSError or StoreError where it can't serve."""
+        config = self.config
+        door = await self._open_door()
+        taker: Taker | None = None
+        lock: Lock | None
+        if config.accept is None:
+            if (lock := Lock.take(config.state)) is None:
+                raise OSError(f"another process of this relay holds {config.state}")
+            journal = Journal(config.state, config.disk_bytes)
+        else:
+            taker = Taker(config.state, config.disk_bytes, config.seed)
+            try:
+                journal = await self._unless_stopped(taker)
+            except Stopped:
+                return
+            lock = taker.lock
+        assert lock is not None
+        recorder = None
+        if self.record is not None:
+            from loftrelay.recording import open_record  # with its database, only where it is used
+
+            recorder = self.recorder = await open_record(config, self.record, journal)
+        handed = taker.handed if taker is not None else None
+        engine, journal = build(config, self.connections, journal, recorder, handed)
+        self.relay.engine = engine
+        server = Server(engine, config.most_clients)
+        address = await server.listen(config.listen, config.accept)
+        if taker is not None:
+            taker.attach(engine, server.adopt, self.relay.change)
+            if recorder is None:  # what the store has not said yet can't be handed over
+                self.giver = Giver(
+                    config.state, lock, engine, server, lambda: self.told, self._moved, self.relay.change,
+                    self._stop, self._take_back,
+                )  # fmt: skip
+        log.info("%s listens on %s:%d", config.name, *address)
+        self.relay.serving = True
+        reached("taken over")
+        if self.to_read:
+            self.read_again()
+        await self.ending.wait()
+        began = asyncio.get_running_loop().time()
+        self.relay.serving = False
+        if self.owns:
+            await self._end_in_order(server, began)
+        else:
+            while engine.delivery.busy and asyncio.get_running_loop().time() < began + END:
+                await asyncio.sleep(LOOK)
+        held = f"{len(journal.held)} messages in its journal" if self.owns else "nothing of its own"
+        log.info("%s ends with %s", config.name, held)
+        engine.notices.close()
+        engine.discovery.close()
+        engine.delivery.close()
+        if self.giver is not None:
+            self.giver.close()
+        if door is not None:
+            door.close()
+        if recorder is not None:
+            await recorder.close()
+        journal.close()
+        lock.release()
+
+    async def _open_door(self) -> Door | None:
+        if self.config.control is None:
+            return None
+        door = Door(self.relay)
+        address = await door.listen(self.config.control)
+        log.info("%s is open to operators on %s:%d", self.config.name, *address)
+        return door
+
+    async def _unless_stopped(self, taker: Taker) -> Journal:
+        own = asyncio.ensure_future(taker.own())
+        stopped = asyncio.ensure_future(self.ending.wait())
+        await asyncio.wait((own, stopped), return_when=asyncio.FIRST_COMPLETED)
+        stopped.cancel()
+        if own.done():
+            return own.result()
+        own.cancel()
+        raise Stopped
+
+    async def _end_in_order(self, server: Server, began: float) -> None:
+        loop, engine = asyncio.get_running_loop(), server.engine
+        server.stopping = True
+        await asyncio.sleep(BEGIN)
+        engine.hold()
+        log.info("%s begins no more calls", self.config.name)
+        await asyncio.sleep(began + TAKE - loop.time())
+        server.close()
+        while loop.time() < began + END and engine.unfinished:
+            await asyncio.sleep(LOOK)
+
+    # What the handover asks
+
+    def _moved(self, away: bool) -> None:
+        self.relay.elsewhere = self.giver if away else None
+        self.relay.serving = not away
+
+    def _stop(self, owns: bool) -> None:
+        self.owns = owns
+        self.ending.set()
+
+    def _take_back(self) -> None:
+        """A new start in the same process: the platform goes on knowing it by its id."""
+        sys.stderr.flush()
+        os.execv(sys.executable, sys.orig_argv)
--- /dev/null
+++ b/loftrelay/upgrade/successor.py
@@ -0,0 +1,170 @@
+"""The process that is to serve: becomes the owner of the state, alone or after one that serves already."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from loftrelay.core.engine import Engine
+from loftrelay.core.handover import Handed, HandoverError, read, read_ending
+from loftrelay.core.steps import reached
+from loftrelay.journal.journal import Journal
+from loftrelay.upgrade.channel import Channel, reach
+from loftrelay.upgrade.lock import Lock
+from loftrelay.upgrade.rules import RETRY, Next, Successor
+
+log = logging.getLogger(__name__)
+
+Adopt = Callable[[dict[str, Any], int], Awaitable[None]]
+Change = Callable[[str, bool, Callable[[str | None], None]], None]
+
+
+class Taker:
+    """Becomes the owner, and hears afterwards what the process before it still has to tell."""
+
+    def __init__(self, folder: Path, disk_bytes: int, seed: int) -> None:
+        self.folder, self.disk_bytes, self.seed = folder, disk_bytes, seed
+        self.rules = Successor()
+        self.lock: Lock | None = None
+        self.journal: Journal | None = None
+        self.handed: Handed | None = None  # None: from the journal alone
+        self.file: dict[str, Any] | None = None  # in force at the process before
+        self.told: dict[str, Any] = {}
+        self.channel: Channel | None = None
+        self.again = asyncio.Event()  # something is to be done
+        self.after = 0.0  # seconds until the next try
+        self.backlog: list[tuple[dict[str, Any], list[int]]] = []
+        self.engine: Engine | None = None
+        self.adopt: Adopt | None = None
+        self.change: Change | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def own(self) -> Journal:
+        """Returns once this process is the owner. Raises OSError where the folder can't be used."""
+        while self.journal is None or self.lock is None:
+            lock = Lock.take(self.folder)
+            sock = reach(self.folder) if lock is None else None
+            steps = self.rules.try_again(lock is not None, sock is not None)
+            if lock is not None:
+                self.lock = lock
+            if sock is not None:
+                self.channel = Channel(sock, self._heard, self._lost)
+            self._do(steps)
+            await self.again.wait()
+            self.again.clear()
+            await asyncio.sleep(self.after)
+            self.after = 0.0
+        return self.journal
+
+    def attach(self, engine: Engine, adopt: Adopt, change: Change) -> None:
+        """From now on what still comes takes effect."""
+        self.engine, self.adopt, self.change = engine, adopt, change
+        backlog, self.backlog = self.backlog, []
+        for message, files in backlog:
+            self._heard(message, files)
+        if self.channel is None:
+            engine.lose_abroad()
+
+    # The channel
+
+    def _heard(self, message: dict[str, Any], files: list[int]) -> None:
+        kind = message.get("is")
+        if kind == "state":
+            self.told = message
+            self._do(self.rules.told())
+        elif kind == "no":
+            log.info("the process that serves does not hand over: %s", message.get("why"))
+            self._lost()
+        elif kind == "yours" and files:
+            self.lock = Lock(files.pop())
+            self._do(self.rules.given())
+        elif self.engine is None:
+            self.backlog.append((message, files))
+            return
+        else:
+            self._heard_after(message, files)
+        for file in files:
+            os.close(file)
+
+    def _heard_after(self, message: dict[str, Any], files: list[int]) -> None:
+        assert self.engine is not None and self.adopt is not None and self.change is not None
+        kind = message.get("is")
+        try:
+            if kind == "ended" and self.handed is not None:
+                self.engine.heard_abroad(message["id"], message["host"], read_ending(message["how"]))
+            elif kind == "doubted" and self.handed is not None:
+                self.engine.doubted(message["id"], message["host"], int(message["at"]))
+            elif kind == "client" and files:
+                task = asyncio.get_running_loop().create_task(self._adopt(message, files.pop()))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+            elif kind == "change":
+                number = message["n"]
+                self.change(message["host"], bool(message["out"]), lambda why: self._changed(number, why))
+        except (HandoverError, KeyError, TypeError, ValueError) as error:
+            log.error("%s was not understood: %r", kind, error)
+
+    async def _adopt(self, row: dict[str, Any], file: int) -> None:
+        assert self.adopt is not None
+        try:
+            await self.adopt(row, file)
+        except (KeyError, ValueError) as error:
+            log.error("a client's connection was not understood: %r", error)
+            os.close(file)
+
+    def _changed(self, number: int, why: str | None) -> None:
+        if self.channel is not None:
+            self.channel.send({"is": "changed", "n": number, "why": why})
+
+    def _lost(self) -> None:
+        if self.channel is not None:
+            self.channel.close()
+            self.channel = None
+        steps = self.rules.lost()
+        self._do(steps)
+        if not steps and self.engine is not None:
+            self.engine.lose_abroad()
+
+    # What the rules say
+
+    def _do(self, steps: list[Next]) -> None:
+        for step in steps:
+            match step:
+                case Next.ASK if self.channel is not None:
+                    self.channel.send({"is": "ask", "pid": os.getpid()})
+                case Next.LOAD:
+                    self._load()
+                case Next.SAY_LOADED if self.channel is not None:
+                    reached("loaded")
+                    self.channel.send({"is": "loaded", "plain": self.handed is None})
+                case Next.FORGET:
+                    self.journal = self.handed = None
+                case Next.START:
+                    self.journal = Journal(self.folder, self.disk_bytes)
+                    self.again.set()
+                case Next.GO_ON:
+                    assert self.journal is not None
+                    reached("yours")
+                    if self.handed is not None:
+                        self.journal.go_on()
+                    else:
+                        self.journal = Journal(self.folder, self.disk_bytes)
+                    self.again.set()
+                case Next.RETRY:
+                    self.after = RETRY / 1e6
+                    self.again.set()
+
+    def _load(self) -> None:
+        file = self.told.pop("file", None)
+        self.file = file if isinstance(file, dict) else None
+        self.journal = Journal(self.folder, self.disk_bytes, still=True)
+        try:
+            self.handed = read(self.told, self.seed)
+        except HandoverError as error:
+            log.warning("from the journal alone: %s", error)
+            self.handed = None
+        self.told = {}
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -20,7 +20,7 @@
     "membership": {"core", "net"},
     "delivery": {"core", "net", "settings"},
     "fronts": {"core", "net", "figures"},
-    "upgrade": {"core", "net"},
+    "upgrade": {"core", "net", "journal"},
 }  # besides themselves and mulleinlead
 PURE = {
     "delivery/pools.py",
