--- a/tests/fronts/control/test_door.py
+++ b/tests/fronts/control/test_door.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -12,7 +11,7 @@
 import pytest
 
 from loftrelay.fronts.control.server import MOST_CALLERS, Caller, Done, Door
-from tests.standins.platform import HANG, ROOT, World, deliver, reply, run
+from tests.standins.platform import HANG, ROOT, World, deliver, free_port, reply, run
 
 
 class Asked:
@@ -113,12 +112,6 @@
     asyncio.run(main())
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 def test_a_relay_opens_its_door_where_it_is_told(tmp_path: Path) -> None:
     async def scenario(w: World) -> None:
         host = await w.host(deliver)
--- /dev/null
+++ b/tests/mulleinlead/test_out_of_service.py
@@ -0,0 +1,120 @@
+"""A host that operators take out: nothing lifts it but their call back, and then it is cold."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from itertools import product
+
+import pytest
+
+from mulleinlead import interface as api
+from tests.mulleinlead.world import MS, Driver, S, entry
+
+HOST, OTHER = entry("h", kind="apart"), entry("other", kind="apart")
+STEPS: dict[str, api.Event] = {
+    "out": api.TakenOut("h"),
+    "back": api.BroughtBack("h"),
+    "listed": api.Listing(api.Form.CHANGES, (HOST,)),
+    "whole list": api.Listing(api.Form.FULL, (HOST, OTHER)),
+    "drains": api.Listing(api.Form.CHANGES, (replace(HOST, state=api.State.DRAINING),)),
+    "gone": api.Listing(api.Form.CHANGES, (replace(HOST, state=api.State.GONE),)),
+    "whole list without it": api.Listing(api.Form.FULL, (OTHER,)),
+    "elsewhere": api.Listing(api.Form.CHANGES, (replace(HOST, zone="there"),)),
+}
+
+
+@pytest.mark.parametrize("steps", list(product(STEPS, repeat=3)), ids="-".join)
+def test_no_step_but_the_call_back_lifts_it(steps: tuple[str, ...]) -> None:
+    driver = Driver(HOST)  # alone, so that messages would go nowhere else
+    out, listed = False, True
+    for number, step in enumerate(("out", *steps)):
+        driver.feed(STEPS[step], after=100 * MS)
+        out = step == "out" or (out and step != "back")
+        listed = {"drains": False, "gone": False, "whole list without it": False}.get(
+            step, True if step in ("listed", "whole list", "elsewhere") else listed
+        )
+        before = len(driver.sent)
+        submit = api.Submit(f"m{number}", 1, "safe", None, 20 * S, None)
+        driver.feed(submit, after=3 * S)
+        sent = [send for _, send in driver.sent[before:] if send.endpoint == "h"]
+        if out or not listed:
+            assert sent == [], (steps, step)
+        for send in sent:
+            driver.feed(
+                api.Outcome(send.message, 0, "h", api.Result.OK, 10 * MS, True, 0, None, None, 0),
+                after=10 * MS,
+            )
+    if not out and listed:
+        driver.run(10 * S)
+        assert any(send.endpoint == "h" for _, send in driver.sent)
+
+
+def test_what_is_out_in_a_call_ends_and_goes_on_elsewhere() -> None:
+    driver = Driver(HOST, OTHER)
+    driver.feed(api.TakenOut("other"), api.Submit("m", 1, "safe", None, 20 * S, None))
+    ((_, send),) = driver.sent
+    assert send.endpoint == "h"
+    driver.feed(api.TakenOut("h"), api.BroughtBack("other"), after=10 * MS)
+    driver.feed(
+        api.Outcome("m", 0, "h", api.Result.NO_CONNECTION, 10 * MS, False, 0, None, None, 0), after=10 * MS
+    )
+    driver.run(10 * S)
+    assert [s.endpoint for _, s in driver.sent] == ["h", "other"]
+
+
+def test_when_all_are_out_messages_wait_and_fail_at_their_time() -> None:
+    driver = Driver(HOST)
+    driver.feed(api.TakenOut("h"), api.Submit("m", 1, "safe", None, 3 * S, None))
+    while not any(isinstance(action, api.Fail | api.Refuse) for action in driver.log):
+        assert driver.wake is not None
+        driver.feed(after=max(0, driver.wake - driver.now))
+    assert driver.sent == []
+
+
+def test_a_second_call_out_needs_one_call_back() -> None:
+    driver = Driver(HOST)
+    driver.feed(api.TakenOut("h"), api.TakenOut("h"), api.BroughtBack("h"))
+    driver.feed(api.Submit("m", 1, "safe", None, 20 * S, None), after=S)
+    driver.run(5 * S)
+    assert len(driver.sent) == 1
+
+
+def test_back_it_is_warmed_up_like_a_destination_after_an_outage() -> None:
+    """A restarted host bears a part of its usual load, so what goes there at first is bounded."""
+
+    def sent_in(driver: Driver, span: int) -> int:
+        before, until = len(driver.sent), driver.now + span
+        while driver.now < until:
+            answers = [
+                api.Outcome(s.message, 0, "h", api.Result.OK, 5 * MS, True, 0, None, None, 0)
+                for _, s in driver.sent[seen[0] :]
+            ]
+            seen[0] = len(driver.sent)
+            names.append(f"m{len(names)}")
+            driver.feed(*answers, api.Submit(names[-1], 1, "safe", None, 20 * S, None), after=50 * MS)
+        return len(driver.sent) - before
+
+    names: list[str] = []
+    seen = [0]
+    driver = Driver(HOST, cold=10 * S, cold_from=0.2, fall_multiple=1.0)
+    warm = sent_in(driver, 20 * S) / 10  # in two seconds
+    driver.feed(api.TakenOut("h"))
+    sent_in(driver, S)
+    driver.feed(api.BroughtBack("h"))
+    first = sent_in(driver, 2 * S)
+    assert 0 < first < 0.6 * warm
+    sent_in(driver, 12 * S)
+    assert sent_in(driver, 4 * S) >= 1.8 * warm
+
+
+def test_it_is_counted_as_avoided_while_it_is_listed() -> None:
+    driver = Driver(HOST, OTHER)
+    assert driver.brain.avoided() == 0
+    driver.feed(api.TakenOut("h"))
+    assert driver.brain.avoided() == 1
+    driver.feed(api.Listing(api.Form.FULL, (OTHER,)))
+    assert driver.brain.avoided() == 0
+    driver.feed(api.Listing(api.Form.FULL, (HOST, OTHER)))
+    assert driver.brain.avoided() == 1
+    driver.feed(api.BroughtBack("h"))
+    assert driver.brain.avoided() == 0
--- /dev/null
+++ b/tests/mulleinlead/test_snapshot.py
@@ -0,0 +1,134 @@
+"""A module written down and read again goes on as if nothing had happened."""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import replace
+
+import pytest
+
+from mulleinlead import interface as api
+from mulleinlead import snapshot
+from mulleinlead.brain import Brain
+from tests.mulleinlead.world import CLASSES, MS, SETTINGS, START, S, entry
+
+RESULTS = list(api.Result)
+HOSTS = [
+    entry("a1"), entry("a2"), entry("b1", 2, kind="apart"), entry("b2", 2, kind="apart", zone="there"),
+    entry("c1", 3, kind="bundled"), entry("c2", 3, kind="bundled"),
+]  # fmt: skip
+
+
+class Play:
+    """Draws events from a seed; what happens depends on them and on the module's actions alone."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = START
+        self.out: list[tuple[str, str]] = []  # messages that were sent, and where to
+        self.number = 0
+
+    def events(self) -> list[api.Event]:
+        draw, events = self.random, list[api.Event]()
+        self.now += draw.choice([5 * MS, 20 * MS, 300 * MS, 2 * S])
+        for _ in range(draw.randrange(4)):
+            self.number += 1
+            name = draw.choice(sorted(CLASSES))
+            key = f"k{draw.randrange(3)}" if CLASSES[name].in_order else None
+            events.append(
+                api.Submit(f"m{self.number}", draw.randrange(1, 4), name, "t", draw.randrange(1, 20) * S, key)
+            )
+        for message, host in draw.sample(self.out, draw.randrange(len(self.out) + 1)):
+            self.out.remove((message, host))
+            result = draw.choice([api.Result.OK, *RESULTS])
+            wait = 400 * MS if result is api.Result.FULL and draw.random() < 0.5 else 0
+            over = result is api.Result.OK
+            events.append(api.Outcome(message, 0, host, result, 30 * MS, over, wait, None, None, 0))
+        if draw.random() < 0.2:
+            changed = replace(draw.choice(HOSTS), state=draw.choice(list(api.State)))
+            events.append(api.Listing(api.Form.CHANGES, (changed,)))
+        if draw.random() < 0.1:
+            by_hand: list[api.Event] = [api.TakenOut("a1"), api.BroughtBack("a1"), api.Timer(0)]
+            events.append(draw.choice(by_hand))
+        return events
+
+    def heard(self, actions: list[api.Action]) -> None:
+        self.out += [(a.message, a.endpoint) for a in actions if isinstance(a, api.Send)]
+
+
+@pytest.mark.parametrize("seed", range(25))
+def test_it_goes_on_as_the_one_that_was_written(seed: int) -> None:
+    module, play = Brain(seed, SETTINGS), Play(seed)
+    module.handle(play.now, [api.Listing(api.Form.FULL, tuple(HOSTS))])
+    for _ in range(60):
+        play.heard(module.handle(play.now, play.events()))
+    waiting = [api.Submit("last", 1, "safe", None, 9 * S, None)]
+    other, events = snapshot.read(snapshot.write(module, waiting), seed=1)
+    assert events == waiting
+    assert module.messages and set(other.messages) == set(module.messages)
+    module.random, other.random = random.Random(5), random.Random(5)
+    module.armed = other.armed
+    for _ in range(60):
+        events = play.events()
+        actions = module.handle(play.now, events)
+        assert other.handle(play.now, events) == actions
+        play.heard(actions)
+
+
+def test_what_is_shared_stays_shared() -> None:
+    module = Brain(1, SETTINGS)
+    module.handle(START, [api.Listing(api.Form.FULL, tuple(HOSTS))])
+    module.handle(START, [api.Submit(f"m{i}", 1, "strict", None, 9 * S, "k") for i in range(3)])
+    other, _ = snapshot.read(snapshot.write(module), 1)
+    assert other.endpoints["a1"].gate is other.endpoints["a2"].gate is other.destinations[1].gate
+    assert other.messages["m1"].key is other.keys["k"] is other.messages["m2"].key
+    assert [message.name for message in other.keys["k"].queue] == ["m0", "m1", "m2"]
+    assert other.messages["m0"].call is not None
+    assert other.messages["m0"].call.endpoint is other.endpoints[other.messages["m0"].call.endpoint.name]
+
+
+def written() -> str:
+    module = Brain(1, SETTINGS)
+    module.handle(START, [api.Listing(api.Form.FULL, (HOSTS[0],))])
+    module.handle(START, [api.Submit("m", 1, "safe", None, 9 * S, None)])
+    return snapshot.write(module)
+
+
+def test_cut_off_anywhere_it_is_no_snapshot() -> None:
+    text = written()
+    for size in range(0, len(text), 7):
+        with pytest.raises(snapshot.SnapshotError):
+            snapshot.read(text[:size], 1)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"shape": "other"},
+        {"root": {"t": [7, []]}},
+        {"root": {"t": [{"r": 0}, 7]}},
+        {"root": {"x": []}},
+        {"root": {"e": ["Result", "NONE"]}},
+        {"root": {"r": 9999}},
+        {"rows": [["Popen", "sh"]]},
+        {"rows": [["Rate", 1]]},
+        {"rows": 7},
+    ],
+)
+def test_what_is_no_module_is_turned_away(change: dict[str, object]) -> None:
+    with pytest.raises(snapshot.SnapshotError):
+        snapshot.read(json.dumps({**json.loads(written()), **change}), 1)
+
+
+def test_only_listed_types_can_be_written() -> None:
+    module = Brain(1, SETTINGS)
+    module.out = {object()}  # type: ignore[arg-type]
+    with pytest.raises(TypeError, match="can't stand in a snapshot"):
+        snapshot.write(module)
+
+
+def test_the_shape_tells_fields_apart(monkeypatch: pytest.MonkeyPatch) -> None:
+    before = snapshot.shape()
+    monkeypatch.setattr(snapshot, "STATE", [*snapshot.STATE, "more"])
+    assert snapshot.shape() != before
--- /dev/null
+++ b/tests/program/test_upgrade.py
@@ -0,0 +1,300 @@
+"""One process replaced by another: real processes, clients that keep their connections, and kills."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from loftrelay.core.steps import GIVING_STEPS, TAKING_STEPS
+from tests.standins.platform import (
+    HANG,
+    Request,
+    World,
+    deliver,
+    failed,
+    free_port,
+    message,
+    never,
+    read_message,
+    reply,
+    run,
+)
+
+
+class Client:
+    """Keeps one connection for all it hands in, as clients do."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name = world, name
+        self.number = 0
+        self.statuses: Counter[int] = Counter()
+        self.taken: list[str] = []  # in the order in which they were handed in
+
+    async def connect(self) -> None:
+        self.reader, self.writer = await asyncio.open_connection(*self.world.address)
+
+    async def hand_in(self, of: str = "order") -> int:
+        """Raises an error where the connection ends, which a handover must never do."""
+        self.number += 1
+        name = f"{self.name}-{self.number}"
+        self.writer.write(message(name, of, path=f"/{of}/{self.name}" if of == "order" else f"/{of}"))
+        async with asyncio.timeout(HANG):
+            start, headers, _ = await read_message(self.reader)
+        status = int(start.split()[1])
+        assert headers.get("connection") != "close"
+        self.statuses[status] += 1
+        if status == 202:
+            self.taken.append(name)
+        return status
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+def play(
+    scenario: Callable[[World], Awaitable[None]], folder: Path, most_held: int = 400, **limits: int
+) -> None:
+    async def with_listener(w: World) -> None:
+        w.share_listener()
+        w.control = f"127.0.0.1:{free_port()}"
+        w.limits |= limits
+        await scenario(w)
+
+    settings = {
+        "policy_limits": {
+            "conn_idle": 15_000_000, "connect_timeout": 1_000_000, "most_held": most_held, "most_tries": 12,
+        },
+        "extra": {"bundle_max": [1, 20], "call_slots": 16, "own_limits": [False, False]},
+    }  # fmt: skip
+    run(with_listener, folder, **settings)
+
+
+def test_upgrades_under_load_lose_repeat_and_reorder_nothing(tmp_path: Path) -> None:
+    """Three in a row, with orders of many keys under way on connections that stay open throughout."""
+
+    async def scenario(w: World) -> None:
+        busy = 0
+
+        async def slowly(request: Request) -> bytes:
+            nonlocal busy
+            busy += 1
+            await asyncio.sleep(0.01)
+            busy -= 1
+            return reply(200)
+
+        host = await w.host(slowly)
+        await w.start()
+        clients = [Client(w, f"c{i}") for i in range(8)]
+        for client in clients:
+            await client.connect()
+        done = asyncio.Event()
+
+        async def keep_on(client: Client) -> None:
+            while not done.is_set():
+                await client.hand_in("order" if client.name != "c0" else "status")
+
+        tasks = [asyncio.create_task(keep_on(client)) for client in clients]
+        for _ in range(3):
+            handed_in = sum(client.number for client in clients)
+            await w.upgrade()
+            await w.until(lambda n=handed_in: sum(c.number for c in clients) > n + 40)  # type: ignore[misc]
+        done.set()
+        await asyncio.gather(*tasks)
+        for client in clients:
+            assert set(client.statuses) <= {202, 503}
+        taken = [name for client in clients for name in client.taken]
+        assert len(taken) > 120
+        await w.until(lambda: set(taken) <= {*host.ids, *(n["id"] for n in w.notices)})
+        runs = Counter(host.ids)
+        assert {name: n for name, n in runs.items() if n > 1} == {}
+        for client in clients[1:]:
+            mine = [name for name in host.ids if name.startswith(f"{client.name}-")]
+            assert mine == [name for name in client.taken if name in runs]
+        assert len(w.notices) == len({notice["id"] for notice in w.notices})
+        assert not set(runs) & {notice["id"] for notice in w.notices}
+        for client in clients:
+            client.close()
+
+    play(scenario, tmp_path)
+
+
+def test_a_call_that_is_out_ends_in_the_process_that_made_it(tmp_path: Path) -> None:
+    """Its outcome reaches the one that took over: an order that was delivered is not told as failed, and one
+    behind it for the same key goes only then."""
+
+    async def scenario(w: World) -> None:
+        go = asyncio.Event()
+
+        async def wait(request: Request) -> bytes:
+            await go.wait()
+            return reply(200)
+
+        host = await w.host(wait)
+        await w.start()
+        assert await w.hand_in("first", "order") == 202
+        assert await w.hand_in("second", "order") == 202
+        await w.until(lambda: host.ids == ["first"])
+        await w.start_beside()
+        await w.until_ready()
+        assert "app.outstanding=2" in await w.call("show-stat")
+        assert host.ids == ["first"]
+        go.set()
+        await w.until(lambda: host.ids == ["first", "second"])
+        while "app.succeeded.order=2" not in (told := await w.call("show-stat")):
+            pass
+        assert "app.forwards=1" in told  # the first was written by the process before
+        assert w.before is not None
+        w.before.send_signal(signal.SIGTERM)
+        assert await w.before.wait() == 0
+        assert w.notices == []
+
+    play(scenario, tmp_path)
+
+
+def test_a_request_that_is_half_there_is_read_to_its_end_elsewhere(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+        await w.start()
+        reader, writer = await asyncio.open_connection(*w.address)
+        raw = message("half", body=b"a body in two parts")
+        writer.write(raw[:-10])
+        await w.call("ready")  # the loop has been round since
+        await w.upgrade()
+        writer.write(raw[-10:])
+        start, _, _ = await read_message(reader)
+        assert start.split()[1] == "202"
+        await w.until(lambda: host.answered == 1)
+        assert host.requests[0].body == b"a body in two parts"
+        writer.close()
+
+    play(scenario, tmp_path)
+
+
+def test_a_host_that_is_out_stays_out_and_a_told_wait_is_heeded(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        first, second = await w.host(deliver), await w.host(deliver)
+        await w.start()
+        assert await w.call("disable-server h0") == "YES\n"
+        await w.upgrade()
+        assert await w.hand_in("m1") == 202
+        await w.until(lambda: second.ids == ["m1"])
+        assert first.ids == [] and "app.ejected=1" in await w.call("show-stat")
+
+        async def full(_: Request) -> bytes:
+            return reply(429, X_Come_Back_Ms="3600000")
+
+        second.script = full
+        assert await w.hand_in("m2") == 202
+        await w.until(lambda: second.ids == ["m1", "m2"])
+        while "app.ejected" not in await w.call("show-stat"):
+            pass
+        await w.upgrade()
+        assert await w.hand_in("m3", Request_Timeout_Ms="1500") == 202
+        await w.until(lambda: any(notice["id"] == "m3" for notice in w.notices) or len(second.ids) > 2)
+        assert second.ids == ["m1", "m2"]
+
+    play(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("step", GIVING_STEPS)
+def test_the_process_that_serves_is_killed_at_each_step(tmp_path: Path, step: str) -> None:
+    """The other one goes on: what may have run and must not run twice fails, the rest is delivered."""
+
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+        silent = await w.host(never, dest=2)
+        w.program = ["-m", "tests.standins.killed", step]
+        await w.start()
+        assert await w.hand_in("out", "order", dest=2) == 202
+        await w.until(lambda: silent.ids == ["out"])
+        w.name(dest=3)
+        await w.hand_in_once_listed("waits", dest=3)
+        await w.start_beside(["-m", "loftrelay"])
+        await w.until_ready()
+        assert w.before is not None
+        assert await w.before.wait() == -signal.SIGKILL
+        await w.until(lambda: failed("out") in w.notices)
+        assert await w.hand_in("later", "order") == 202
+        w.list_host(3, "plain", "Ready", host.address)
+        await w.until(lambda: {"waits", "later"} <= set(host.ids))
+        assert silent.ids == ["out"] and Counter(host.ids) == {"waits": 1, "later": 1}
+
+    play(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("step", TAKING_STEPS)
+def test_the_process_that_takes_over_is_killed_at_each_step(tmp_path: Path, step: str) -> None:
+    """The one before it serves, as it did or anew from the journal, and a third can take over from it."""
+
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+        await w.start()
+        w.name(dest=3)
+        await w.hand_in_once_listed("waits", dest=3)
+        door = w.control
+        await w.start_beside(["-m", "tests.standins.killed", step])
+        assert w.process is not None and w.before is not None
+        assert await w.process.wait() == -signal.SIGKILL
+        w.control, w.process, w.before = door, w.before, None
+        await w.until_ready()
+        assert w.process.returncode is None
+        assert await w.hand_in("after", "order") == 202
+        w.list_host(3, "plain", "Ready", host.address)
+        await w.until(lambda: {"waits", "after"} <= set(host.ids))
+        await w.upgrade()
+        assert await w.hand_in("last", "order") == 202
+        await w.until(lambda: "last" in host.ids)
+        assert Counter(host.ids) == {"waits": 1, "after": 1, "last": 1}
+        assert w.notices == []
+
+    play(scenario, tmp_path)
+
+
+def test_what_is_left_over_in_the_folder_harms_nothing(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+        state = tmp_path / "state"
+        state.mkdir()
+        (state / "owner.lock").write_text("4711")
+        (state / "upgrade.sock").write_text("no socket")
+        (state / "hosts-out.json").write_text("{")
+        await w.start()
+        await w.until_ready()
+        assert await w.hand_in("m") == 202
+        await w.until(lambda: host.ids == ["m"])
+        await w.upgrade()
+
+    play(scenario, tmp_path)
+
+
+def test_a_second_process_that_shares_no_listener_ends_with_one_line(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+        await w.start()
+        other = await w.spawn()
+        assert await other.wait() == 1
+        assert any("another process of this relay holds" in line for line in w.log)
+        assert await w.hand_in("m") == 202
+        await w.until(lambda: host.ids == ["m"])
+
+    run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("text", ["x", "-1", "9999"])
+def test_a_descriptor_that_is_none_ends_with_one_line(tmp_path: Path, text: str) -> None:
+    import os
+    import subprocess
+    import sys
+
+    path = World(tmp_path).configure("127.0.0.1:9")
+    done = subprocess.run(
+        [sys.executable, "-m", "loftrelay"], capture_output=True, text=True, timeout=HANG,
+        env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_STATE": str(tmp_path / "s"),
+             "RELAY_ACCEPT_FD": text},
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stderr.count("\n") == 1 and "RELAY_ACCEPT_FD" in done.stderr
--- a/tests/standins/killed.py
+++ b/tests/standins/killed.py
@@ -13,7 +13,7 @@
 
 def kill_at(step: str) -> None:
     """Raises SystemExit for a step that isn't there: nothing would ever be killed."""
-    if step not in steps.STEPS + steps.NOTICE_STEPS:
+    if step not in steps.STEPS + steps.NOTICE_STEPS + steps.GIVING_STEPS + steps.TAKING_STEPS:
         raise SystemExit(f"there is no step {step!r}")
 
     def listen(reached: str) -> None:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -150,7 +151,9 @@
         self.name_ = "n1"
         self.control = ""  # where operators call; empty: nowhere
         self.noticed_at: dict[str, float] = {}  # message -> when its notice came (Unix time)
-        self.process: asyncio.subprocess.Process | None = None
+        self.process: asyncio.subprocess.Process | None = None  # the one that was started last
+        self.before: asyncio.subprocess.Process | None = None  # the one beside which it was started
+        self.accept: socket.socket | None = None  # the clients' socket, where all processes share it
         self.address = ("", 0)
         self._changed = asyncio.Event()
 
@@ -159,8 +162,12 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        if self.process is not None and self.process.returncode is None:
-            await self.kill()
+        for process in (self.before, self.process):
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+        if self.accept is not None:
+            self.accept.close()
         for peer in self.peers:
             assert peer.server is not None
             peer.server.close()
@@ -233,8 +240,6 @@
             "name": self.name_, "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d2",
             "limits": self.limits, "known": self.whole_list(), "settings": self.settings,
         }  # fmt: skip
-        if self.control:
-            config["control"] = self.control
         path = self.folder / "config.json"
         path.write_text(json.dumps(config))
         return path
@@ -243,14 +248,53 @@
         assert self.process is not None
         self.process.send_signal(signal.SIGHUP)
 
-    async def start(self) -> None:
+    async def spawn(self, program: list[str] | None = None) -> asyncio.subprocess.Process:
+        """A process of the relay; does not wait for anything of it."""
         path = self.configure(self.discovery.address)
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, *self.program, *self.arguments, cwd=self.root, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_STATE": str(self.folder / "state")},
+        more = {"RELAY_CONTROL": self.control} if self.control else {}
+        files: tuple[int, ...] = ()
+        if self.accept is not None:
+            more["RELAY_ACCEPT_FD"], files = str(self.accept.fileno()), (self.accept.fileno(),)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *(program or self.program), *self.arguments, cwd=self.root,
+            stderr=asyncio.subprocess.PIPE, pass_fds=files,
+            env={**os.environ, "RELAY_CONFIG": str(path), "RELAY_STATE": str(self.folder / "state"), **more},
         )  # fmt: skip
+        self.tasks.append(asyncio.create_task(self._read_log(process)))
+        return process
+
+    def share_listener(self) -> None:
+        """From now on the platform holds the clients' socket, and every process inherits it."""
+        self.accept = socket.create_server(("127.0.0.1", 0))
+        self.accept.listen(128)
+        self.address = self.accept.getsockname()
+
+    async def start_beside(self, program: list[str] | None = None) -> None:
+        """Starts the process that is to take over, at a door of its own; does not wait for it."""
+        self.before, self.control = self.process, f"127.0.0.1:{free_port()}"
+        self.process = await self.spawn(program)
+
+    async def until_ready(self) -> None:
+        """Until the process that was started last says so at its door."""
+        async with asyncio.timeout(HANG):
+            while True:
+                with contextlib.suppress(OSError):
+                    if await self.call("ready") == "YES\n":
+                        return
+                await asyncio.sleep(0.01)
+
+    async def upgrade(self) -> None:
+        """Replaces the process, as the platform does."""
+        await self.start_beside()
+        await self.until_ready()
+        assert self.before is not None
+        self.before.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(HANG):
+            assert await self.before.wait() == 0
+
+    async def start(self) -> None:
         self.log.clear()
-        self.tasks.append(asyncio.create_task(self._read_log(self.process)))
+        self.process = await self.spawn()
         await self.until(lambda: any("listens on" in line for line in self.log))
         line = next(line for line in self.log if "listens on" in line)
         self.address = ("127.0.0.1", int(line.rpartition(":")[2]))
@@ -318,6 +362,12 @@
         assert status == 202
 
 
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
     start, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().strip().split("\r\n")
     headers = {k.strip().lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
