--- a/loftrelay/app.py
+++ b/loftrelay/app.py
@@ -8,10 +8,10 @@
 from loftrelay.core.ports import Record
 from loftrelay.delivery.hosts import Hosts
 from loftrelay.delivery.pools import Limits
-from loftrelay.journal.hosts_out import HostsOut
 from loftrelay.journal.journal import Journal
 from loftrelay.membership.discovery import Discovery
 from loftrelay.membership.notices import Notices
+from loftrelay.state.hosts_out import HostsOut
 
 DEFAULT_LIMITS = Limits()
 
--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import socket
 from collections.abc import Mapping
@@ -13,9 +14,13 @@
 from loftrelay.net.address import Address, parse_address
 from loftrelay.settings.checked import SettingsError
 from loftrelay.settings.platform import check_change, check_settings
+from loftrelay.state.files import ROOM
+from loftrelay.state.last_file import LastFile
 from mulleinlead.adapter import read_settings
 from mulleinlead.interface import Settings
 
+log = logging.getLogger(__name__)
+
 # Of the descriptors, some are for the journal, discovery, the loop, and connections taken before others are
 # closed. Hosts get two for each call that may be out and 64 to keep, but half at most; the rest is
 # for clients. The buffers of a client may hold 80 KB, so that clients fill 0.4 of the memory at most.
@@ -95,9 +100,25 @@
 
 
 def load_config(environ: Mapping[str, str]) -> Config:
-    """The environment names what it names; the rest comes from the file."""
-    told = read_file(environ)
-    path, limits = environ["RELAY_CONFIG"], told.get("limits", {})
+    """The environment names what it names; the rest comes from the file, or where that can't be used, from
+    what was last in force. Raises ConfigError."""
+    try:
+        return _config(environ, read_file(environ), environ["RELAY_CONFIG"])
+    except ConfigError as error:
+        kept = LastFile(Path(environ["RELAY_STATE"])) if environ.get("RELAY_STATE") else None
+        told = kept.load() if kept is not None else None
+        if kept is None or told is None:
+            raise
+        try:
+            config = _config(environ, told, str(kept.path))
+        except ConfigError:
+            raise error from None
+        log.error("%s: the relay starts with what was last in force", error)
+        return config
+
+
+def _config(environ: Mapping[str, str], told: Mapping[str, Any], path: str) -> Config:
+    limits = told.get("limits", {})
     try:
         sockets = int(limits.get("sockets", 1024))
         control = environ.get("RELAY_CONTROL") or told.get("control")
@@ -115,7 +136,7 @@
             seed=seed,
             most_clients=min(clients, int(limits.get("memory_mb", 64)) * CLIENTS_A_MB),
             most_to_hosts=to_hosts,
-            disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
+            disk_bytes=_journal_room(float(limits.get("disk_mb", 3))),
             settings=settings,
             known=told.get("known") or {},
             control=parse_address(control) if control else None,
@@ -128,6 +149,11 @@
         raise ConfigError(f"{path} holds a bad value: {error}") from error
 
 
+def _journal_room(disk_mb: float) -> int:
+    disk = int(disk_mb * 1_000_000)
+    return max(disk - ROOM, disk * 9 // 10)
+
+
 def _descriptor(text: str | None) -> int | None:
     """Raises ValueError."""
     if not text:
--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -146,6 +146,7 @@
             self._remember(record["id"], Remembered(record["as"], record["until"]), size)
         if kind == "take":
             held = Held(**record, body=body)
+            held.terms = tuple(held.terms) if held.terms is not None else None
             self._forget_home(held.id)
             self.held[held.id] = held
             self.homes[held.id] = max(self.segments), size + STATE_ROOM
--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -16,9 +16,10 @@
 from loftrelay.fronts.control.relay import Relay
 from loftrelay.fronts.control.server import Door
 from loftrelay.fronts.http.server import Server
-from loftrelay.journal.hosts_out import HostsOut
 from loftrelay.journal.journal import Journal
 from loftrelay.record.settings import RecordSettings
+from loftrelay.state.hosts_out import HostsOut
+from loftrelay.state.last_file import LastFile
 from loftrelay.upgrade.lock import Lock
 from loftrelay.upgrade.predecessor import Giver
 from loftrelay.upgrade.successor import Taker
@@ -39,6 +40,7 @@
     def __init__(self, config: Config, connections: Limits, record: RecordSettings | None) -> None:
         self.config, self.connections, self.record = config, connections, record
         self.relay = Relay(HostsOut(config.state))
+        self.last = LastFile(config.state)
         self.told: Mapping[str, Any] = config.told  # the file in force
         self.ending = asyncio.Event()
         self.owns = True  # of what it ends with
@@ -65,6 +67,7 @@
             log.error("the configuration stays as it was: %s", error)
             return
         self.told = change.told
+        self.last.save(change.told)
         if self.record is not None:
             from loftrelay.recording import modes
 
@@ -100,6 +103,7 @@
         handed = taker.handed if taker is not None else None
         engine, journal = build(config, self.connections, journal, recorder, handed)
         self.relay.engine = engine
+        self.last.save(self.told)
         server = Server(engine, config.most_clients)
         address = await server.listen(config.listen, config.accept)
         if taker is not None:
--- a/loftrelay/journal/hosts_out.py
+++ b/loftrelay/state/hosts_out.py
@@ -1,18 +1,17 @@
-"""The hosts that operators have taken out, in a file of the folder that lasts."""
+"""The hosts that operators have taken out."""
 
 from __future__ import annotations
 
-import contextlib
 import json
 import logging
-import os
 from collections.abc import Iterable
 from pathlib import Path
 
+from loftrelay.state.files import write_whole
+
 log = logging.getLogger(__name__)
 
-NAME = "hosts-out.json"
-MOST = 4_096  # ids
+NAME, MOST = "hosts-out.json", 16_000  # bytes
 
 
 class HostsOut:
@@ -34,14 +33,4 @@
 
     def save(self, hosts: Iterable[str]) -> None:
         """The whole set, or what stood there before. Raises OSError."""
-        ids = sorted(hosts)
-        if len(ids) > MOST:
-            raise OSError(f"more than {MOST} hosts are out")
-        beside = self.path.with_suffix(f".{os.getpid()}")
-        try:
-            beside.write_text(json.dumps(ids), encoding="utf-8")
-            beside.replace(self.path)
-        except OSError:
-            with contextlib.suppress(OSError):
-                beside.unlink()
-            raise
+        write_whole(self.path, json.dumps(sorted(hosts)).encode(), MOST)
--- /dev/null
+++ b/tests/core/test_counts.py
@@ -0,0 +1,217 @@
+"""What is taken is ended or outstanding at each step, and both sides of a handover agree on what there is."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from loftrelay.app import build
+from loftrelay.config import Config
+from loftrelay.core.clock import wall_clock
+from loftrelay.core.engine import Engine
+from loftrelay.core.handover import HandoverError, read, read_ending, tell_ending
+from loftrelay.core.message import Held
+from loftrelay.core.ports import Ending
+from loftrelay.figures.registry import End
+from loftrelay.journal.journal import Journal
+from mulleinlead.adapter import read_settings
+from mulleinlead.interface import Result
+from tests.standins.platform import SETTINGS
+
+ENDINGS = [
+    Ending(Result.OK, over=True), Ending(Result.OK, over=True), Ending(Result.ERROR), Ending(Result.FULL),
+    Ending(Result.BROKEN), Ending(Result.NO_CONNECTION), Ending(Result.SPOILT), Ending(Result.NOT_SENT),
+    Ending(Result.NOT_SENT, expired=True), Ending(Result.TIMEOUT),
+]  # fmt: skip
+
+
+def config(folder: Path) -> Config:
+    row = {"id": "h", "host_port": "127.0.0.1:9", "cell": 1, "phase": "Ready"}
+    known = {"revision": 1, "complete": True, "members": [row]}
+    address = ("127.0.0.1", 9)
+    return Config("n", address, address, folder, 1, 100, 100, 1_000_000, read_settings(SETTINGS), known)
+
+
+class Steps:
+    """An engine whose calls end as a seed says, turn by turn."""
+
+    def __init__(self, engine: Engine, seed: int) -> None:
+        self.engine, self.random = engine, random.Random(seed)
+        self.out: list[tuple[Held, str]] = []
+        self.number = 0
+        self.handed_in = 0
+        self.withdrawn = 0
+        self.statuses: Counter[int] = Counter()
+        self.now = engine.now
+        self.use(engine)
+
+    def use(self, engine: Engine) -> None:
+        self.engine = engine
+
+        def send(host: str, messages: list[Held], terms: object) -> None:
+            self.out += [(message, host) for message in messages]
+
+        # Virtual time for the module: its pauses pass from turn to turn.
+        engine._clock = lambda: self.now  # type: ignore[method-assign]
+        engine.delivery.send = send  # type: ignore[method-assign]
+        engine.delivery.recall = list  # type: ignore[method-assign]
+
+    def step(self) -> None:
+        engine, draw = self.engine, self.random
+        self.now += 300_000
+        match draw.randrange(4):
+            case 0 | 1:
+                self.number += 1
+                of = draw.choice(["status", "order"])
+                now = wall_clock()
+                held = Held(
+                    f"m{self.number}", 0, of, "acme", draw.choice([1, 1, 1, 7]),
+                    f"k{draw.randrange(3)}" if of == "order" else None, now, now + 20_000_000, b"body",
+                )  # fmt: skip
+                self.handed_in += 1
+                engine.submit(held, lambda status, _: self.statuses.update([status]))
+                if draw.random() < 0.2 and held.id in engine.unanswered:
+                    engine.withdraw(held.id)
+                    self.withdrawn += 1
+            case 2 if self.out:
+                held, host = self.out.pop(draw.randrange(len(self.out)))
+                engine.ended(held, host, draw.choice(ENDINGS))
+            case 3:
+                told = [m for m in list(engine.notices.waiting) if draw.random() < 0.5]  # type: ignore[attr-defined]
+                for message in told:
+                    del engine.notices.waiting[message]  # type: ignore[attr-defined]
+                    engine.noticed(message)
+        engine._turn()
+
+    def check(self, before: int = 0) -> None:
+        """`before`: taken by another process, and ended or handed over there."""
+        shown = dict(line.split("=") for line in self.engine.figure_lines())
+        ended = sum(self.engine.figures.ends.values())
+        outstanding = int(shown["app.outstanding"])
+        assert self.handed_in - self.withdrawn == before + ended + outstanding
+        declined = sum(n for (_, end), n in self.engine.figures.ends.items() if end is End.DECLINED)
+        assert declined >= 0 and outstanding == len(self.engine.journal.held)
+
+
+def close(engine: Engine) -> None:
+    engine.notices.close()
+    engine.discovery.close()
+    engine.delivery.close()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_taken_is_ended_or_outstanding_at_each_step(tmp_path: Path, seed: int) -> None:
+    async def main() -> None:
+        engine, _ = build(config(tmp_path))
+        steps = Steps(engine, seed)
+        for _ in range(150):
+            steps.step()
+            steps.check()
+        assert steps.statuses[202] > 20 and sum(engine.figures.ends.values()) > 10
+        close(engine)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_handover_in_the_midst_keeps_the_count(tmp_path: Path, seed: int) -> None:
+    """What the first process did not end the second one has; outcomes of the first one's calls end there."""
+
+    class Away:
+        def ended(self, message: str, host: str, ending: Ending) -> None:
+            raise AssertionError("nothing ends while both stand still")
+
+        doubted = ended
+
+    async def main() -> None:
+        first, journal = build(config(tmp_path))
+        steps = Steps(first, seed)
+        for _ in range(80):
+            steps.step()
+        steps.check()
+        first.freeze(Away())  # type: ignore[arg-type]
+        state: dict[str, Any] = first.state()
+        second_journal = Journal(tmp_path, 1_000_000, still=True)
+        assert list(second_journal.held) == list(journal.held)
+        handed = read(state, 2)
+        journal.close()
+        second_journal.go_on()
+        ended_before = sum(first.figures.ends.values())
+        second, _ = build(config(tmp_path), journal=second_journal, handed=handed)
+        assert set(second.abroad) == {held.id for held, _ in steps.out}
+        steps.use(second)
+        second._turn()
+        steps.check(ended_before)
+        for _ in range(80):
+            steps.step()
+            steps.check(ended_before)
+        outstanding = len(second.journal.held)
+        second.lose_abroad()
+        second._turn()
+        assert second.abroad == {} and len(second.journal.held) <= outstanding
+        steps.check(ended_before)
+        close(first)
+        close(second)
+
+    asyncio.run(main())
+
+
+def test_a_handover_that_is_given_up_changes_nothing(tmp_path: Path) -> None:
+    """Outcomes that came meanwhile count afterwards, and calls that had not begun go then."""
+
+    async def main() -> None:
+        engine, _ = build(config(tmp_path))
+        steps = Steps(engine, 3)
+        steps.number = 1
+        now = wall_clock()
+        engine.submit(Held("m1", 0, "status", "acme", 1, None, now, now + 20_000_000), lambda s, _: None)
+        steps.handed_in = 1
+        engine._turn()
+        assert len(steps.out) == 1
+        heard: list[str] = []
+
+        class Away:
+            def ended(self, message: str, host: str, ending: Ending) -> None:
+                heard.append(message)
+
+            def doubted(self, message: str, host: str, ran_at: int) -> None:
+                heard.append(message)
+
+        engine.freeze(Away())
+        before = engine.figure_lines()
+        held, host = steps.out.pop()
+        engine.ended(held, host, Ending(Result.OK, over=True))
+        engine._turn()
+        assert heard == [held.id] and engine.figure_lines() == before
+        engine.thaw()
+        engine.ended(held, host, Ending(Result.OK, over=True))
+        engine._turn()
+        steps.check()
+        assert held.id not in engine.journal.held
+        close(engine)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_an_ending_is_told_and_read_again(ending: Ending) -> None:
+    assert read_ending(tell_ending(ending)) == ending
+
+
+@pytest.mark.parametrize(
+    "told", [[], ["OK"], ["GONE", True, False, 0, None], ["OK", True, False, "x", None], 7]
+)
+def test_what_is_no_ending_is_turned_away(told: Any) -> None:
+    with pytest.raises(HandoverError):
+        read_ending(told)
+
+
+@pytest.mark.parametrize("told", [{}, {"module": "{}"}, {"module": 7, "list": []}])
+def test_what_is_no_state_is_turned_away(told: Any) -> None:
+    with pytest.raises(HandoverError):
+        read(told, 1)
--- a/tests/program/test_settings_in_service.py
+++ b/tests/program/test_settings_in_service.py
@@ -141,3 +141,27 @@
         await w.hand_in_once_listed("far", dest=5)
 
     run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("broken", ["", "{}", '{"settings": {"classes": []}}'])
+def test_a_start_that_finds_a_broken_file_goes_on_with_the_last_one(tmp_path: Path, broken: str) -> None:
+    async def scenario(w: World) -> None:
+        host = await w.host(never)
+        await begin(w)
+        await change(w, 1, classes=[{**STATUS, "name": "second"}, ORDER])
+        assert await w.hand_in("m", "second") == 202
+        await w.until(lambda: host.ids == ["m"])
+        (tmp_path / "config.json").write_text(broken)
+        w.reload()
+        while "app.sighup_rejected=1" not in await w.call("show-stat"):
+            pass
+        host.script = deliver
+        w.keep_file = True
+        await w.restart()
+        assert any("starts with what was last in force" in line for line in w.log)
+        await w.until(lambda: host.ids == ["m", "m"])
+        while (status := await w.hand_in("later", "second")) == 503:
+            pass  # the list is not kept, and comes anew
+        assert status == 202
+
+    run(scenario, tmp_path)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -149,6 +149,7 @@
         self.program = ["-m", "loftrelay"]
         self.arguments: list[str] = []
         self.name_ = "n1"
+        self.keep_file = False  # the file of the platform stands as it is
         self.control = ""  # where operators call; empty: nowhere
         self.noticed_at: dict[str, float] = {}  # message -> when its notice came (Unix time)
         self.process: asyncio.subprocess.Process | None = None  # the one that was started last
@@ -241,7 +242,8 @@
             "limits": self.limits, "known": self.whole_list(), "settings": self.settings,
         }  # fmt: skip
         path = self.folder / "config.json"
-        path.write_text(json.dumps(config))
+        if not self.keep_file:
+            path.write_text(json.dumps(config))
         return path
 
     def reload(self) -> None:
--- /dev/null
+++ b/tests/state/test_files.py
@@ -0,0 +1,53 @@
+"""Small files that are there whole, or as they were before."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from loftrelay.state.files import write_whole
+from loftrelay.state.hosts_out import HostsOut
+from loftrelay.state.last_file import MOST, LastFile
+
+
+def test_what_can_not_be_written_leaves_what_stood_there(tmp_path: Path) -> None:
+    path = tmp_path / "file.json"
+    write_whole(path, b"first", 10)
+    with pytest.raises(OSError, match="11 bytes"):
+        write_whole(path, b"x" * 11, 10)
+    assert path.read_bytes() == b"first"
+    (tmp_path / "folder.json").mkdir()
+    with pytest.raises(OSError, match=r"folder\.json"):
+        write_whole(tmp_path / "folder.json", b"x", 10)
+    assert sorted(p.name for p in tmp_path.iterdir()) == ["file.json", "folder.json"]
+
+
+@pytest.mark.parametrize("text", ["", "{", "{}", "[1]", '["a"', "[" * 100_000])
+def test_hosts_out_that_can_not_be_read_are_none(tmp_path: Path, text: str) -> None:
+    out = HostsOut(tmp_path)
+    assert out.load() == set()
+    out.save({"b", "a"})
+    assert HostsOut(tmp_path).load() == {"a", "b"}
+    out.path.write_text(text)
+    assert out.load() == set()
+
+
+def test_too_many_hosts_are_refused_and_the_old_set_stands(tmp_path: Path) -> None:
+    out = HostsOut(tmp_path)
+    out.save({"a"})
+    with pytest.raises(OSError):
+        out.save({f"host-{n:05}" for n in range(2_000)})
+    assert out.load() == {"a"}
+
+
+def test_the_last_file_leaves_the_list_out_and_a_huge_one_is_not_kept(tmp_path: Path) -> None:
+    last = LastFile(tmp_path / "not there yet")
+    assert last.load() is None
+    last.save({"name": "n", "known": {"members": ["long"] * 50_000}})
+    assert last.load() == {"name": "n"}
+    last.save({"name": "m", "settings": "x" * MOST})
+    assert last.load() == {"name": "n"}
+    last.path.write_text(json.dumps(["n"]))
+    assert last.load() is None
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,6 +11,7 @@
 MAY_IMPORT = {
     "net": set[str](),
     "settings": set[str](),
+    "state": set[str](),
     "figures": set[str](),
     "core": {"net", "figures"},
     "journal": {"core"},
