--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -118,6 +118,11 @@
         self.transport = transport
         self._wait(REQUEST_TIME)
         self.server.arrived(self)
+        if self.server.frozen:
+            transport.pause_reading()  # it was accepted just before all stood still
+            if self.server.giving is not None:
+                self.server.hand_one(self, Kind.NEW, self.server.giving)
+            return
         if self.given is not None:
             if self.given.kind is not Kind.NEW:
                 self.server.place(self, self.given.kind)
@@ -339,6 +344,7 @@
         self.listener: asyncio.Server | None = None
         self.inherited: int | None = None
         self.frozen = False
+        self.giving: Callable[[dict[str, Any], int], None] | None = None  # who comes late, goes there too
         self.sweeping: asyncio.TimerHandle | None = None
 
     async def listen(self, address: Address, inherited: int | None = None) -> Address:
@@ -386,18 +392,22 @@
     def hand(self, give: Callable[[dict[str, Any], int], None]) -> None:
         """Gives each client that another process can go on with: its row and its descriptor, which is to be
         duplicated. The rest end here, once what was written to them is sent."""
+        self.giving = give
         kinds = ((Kind.NEW, self.newcomers), (Kind.ONCE, self.once), (Kind.REGULAR, self.regulars))
         for kind, clients in kinds:
             for client in list(clients):
-                transport = client.transport
-                if transport is not None and client.may_be_given:
-                    file = transport.get_extra_info("socket").fileno()
-                    give(Given(kind, bytes(client.raw), file).row(), file)
-                    self.gone(client)
-                    client.refused = True  # here; the connection itself lives on
-                    transport.abort()
-                elif not client.refused:
-                    client.close()
+                self.hand_one(client, kind, give)
+
+    def hand_one(self, client: Client, kind: Kind, give: Callable[[dict[str, Any], int], None]) -> None:
+        transport = client.transport
+        if transport is not None and client.may_be_given:
+            file = transport.get_extra_info("socket").fileno()
+            give(Given(kind, bytes(client.raw), file).row(), file)
+            self.gone(client)
+            client.refused = True  # here; the connection itself lives on
+            transport.abort()
+        elif not client.refused:
+            client.close()
 
     async def adopt(self, row: Mapping[str, Any], file: int) -> None:
         """Goes on with a client of another process; the descriptor is this one's own from now on. Raises
--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -77,6 +77,14 @@
             self._next_segment()
             self._drop(old)
 
+    def catch_up(self) -> None:
+        """Reads what its owner has written since. The owner stands still by now."""
+        there = {int(path.stem) for path in self._paths()}
+        if set(self.segments) <= there:
+            self._load(still=True)
+        else:  # some were dropped: the end of what they told may have been told, and dropped, in between
+            Journal.__init__(self, self.folder, self.disk_bytes, still=True)
+
     def go_on(self) -> None:
         """It is this process's own from now on."""
         self._next_segment()
@@ -265,19 +273,25 @@
                 return
             self.bytes -= self.segments.pop(oldest).size
 
+    def _paths(self) -> list[Path]:
+        return sorted(self.folder.glob("[0-9]" * 10 + ".log"))
+
     def _load(self, still: bool) -> None:
+        """From where each segment was read to, in their order."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        for path in sorted(self.folder.glob("[0-9]" * 10 + ".log")):
-            segment = self.segments[int(path.stem)] = Segment(path)
-            data = path.read_bytes()
+        for path in self._paths():
+            segment = self.segments.setdefault(int(path.stem), Segment(path))
+            with path.open("rb") as file:
+                file.seek(segment.size)
+                data = file.read()
+            start = segment.size
             for record, body, end in _records(data):
-                self._apply(record, body, end - segment.size)
-                segment.size = end
-            self.bytes += segment.size
-            if segment.size < len(data):
-                log.warning("%s: cut at byte %d of %d", path.name, segment.size, len(data))
-                if not still:
-                    os.truncate(path, segment.size)
+                self._apply(record, body, start + end - segment.size)
+                segment.size = start + end
+            self.bytes += segment.size - start
+            if segment.size < start + len(data) and not still:
+                log.warning("%s: cut at byte %d of %d", path.name, segment.size, start + len(data))
+                os.truncate(path, segment.size)
 
 
 def _records(data: bytes) -> Iterator[tuple[dict[str, Any], bytes, int]]:
--- a/loftrelay/upgrade/predecessor.py
+++ b/loftrelay/upgrade/predecessor.py
@@ -58,6 +58,7 @@
         self.late: list[dict[str, Any]] = []  # what became known while all stood still
         self.changes: dict[int, tuple[str, bool, Done]] = {}  # asked by operators meanwhile
         self.number = 0
+        self.since = 0  # it stands still
         self.clock: asyncio.TimerHandle | None = None
         self.listener = Listener(folder, self._came)
 
@@ -129,7 +130,7 @@
                 case Do.REFUSE if asking is not None:
                     asking.send({"is": "no", "why": "another process follows, or this one ends"})
                 case Do.FREEZE:
-                    log.info("another process is to take over")
+                    self.since = self._now()
                     self.moved(True)
                     self.front.freeze()
                     self.engine.freeze(self)
@@ -189,7 +190,9 @@
         self.channel.send({"is": "yours"}, [self.lock.file])
         self.lock.release()
         reached("given")
-        log.info("another process has taken over")
+        log.info(
+            "another process has taken over; all stood still for %d ms", (self._now() - self.since) // 1000
+        )
 
     def _hand_over(self) -> None:
         assert self.channel is not None
--- a/loftrelay/upgrade/successor.py
+++ b/loftrelay/upgrade/successor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 from collections.abc import Awaitable, Callable
@@ -15,7 +16,7 @@
 from loftrelay.journal.journal import Journal
 from loftrelay.upgrade.channel import Channel, reach
 from loftrelay.upgrade.lock import Lock
-from loftrelay.upgrade.rules import RETRY, Next, Successor
+from loftrelay.upgrade.rules import RETRY, Next, Step, Successor
 
 log = logging.getLogger(__name__)
 
@@ -45,7 +46,14 @@
 
     async def own(self) -> Journal:
         """Returns once this process is the owner. Raises OSError where the folder can't be used."""
-        while self.journal is None or self.lock is None:
+        gc.disable()  # a heap is built up here at one go, while clients wait
+        try:
+            return await self._own()
+        finally:
+            gc.enable()
+
+    async def _own(self) -> Journal:
+        while self.rules.step is not Step.OWNER:
             lock = Lock.take(self.folder)
             sock = reach(self.folder) if lock is None else None
             steps = self.rules.try_again(lock is not None, sock is not None)
@@ -58,6 +66,7 @@
             self.again.clear()
             await asyncio.sleep(self.after)
             self.after = 0.0
+        assert self.journal is not None
         return self.journal
 
     def attach(self, engine: Engine, adopt: Adopt, change: Change) -> None:
@@ -135,6 +144,8 @@
         for step in steps:
             match step:
                 case Next.ASK if self.channel is not None:
+                    # While the other one still serves: the less is left to read when it stands still.
+                    self.journal = Journal(self.folder, self.disk_bytes, still=True)
                     self.channel.send({"is": "ask", "pid": os.getpid()})
                 case Next.LOAD:
                     self._load()
@@ -161,7 +172,8 @@
     def _load(self) -> None:
         file = self.told.pop("file", None)
         self.file = file if isinstance(file, dict) else None
-        self.journal = Journal(self.folder, self.disk_bytes, still=True)
+        assert self.journal is not None
+        self.journal.catch_up()
         try:
             self.handed = read(self.told, self.seed)
         except HandoverError as error:
--- a/mulleinlead/snapshot.py
+++ b/mulleinlead/snapshot.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import hashlib
+import heapq
 import json
 import math
 import random
@@ -146,7 +147,10 @@
 
 
 def write(module: Brain, events: Iterable[interface.Event] = ()) -> str:
-    """The module, and events that it has not seen yet."""
+    """The module, and events that it has not seen yet. Alarms of what is over are let go first: they hold all
+    messages of the last seconds, and would only wake the module for nothing."""
+    module.alarms = [a for a in module.alarms if not (isinstance(a[2], brain.Message) and a[2].over)]
+    heapq.heapify(module.alarms)
     told = _Writer().whole((module, list(events)))
     return json.dumps({"shape": shape(), **told}, separators=(",", ":"))
 
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import random
 import shutil
@@ -209,3 +210,38 @@
     assert set(journal.past) <= {name for names in journal.past_homes.values() for name in names}
     clock["now"] = 2_000_000
     assert journal.ended("m199") is None and not journal.past and journal.live == 0
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_read_while_its_owner_writes_it_is_what_a_start_would_read(tmp_path: Path, seed: int) -> None:
+    """Also where whole segments were dropped in between."""
+    chance = random.Random(seed)
+    owner = Journal(tmp_path, 60_000)
+    number = 0
+
+    def go_on(steps: int) -> None:
+        nonlocal number
+        for _ in range(steps):
+            number += 1
+            now = wall_clock()
+            one = Held(f"m{number}", 0, "status", None, 1, None, now, now + 9_000_000, b"x" * 50)
+            with contextlib.suppress(JournalFull):
+                owner.take(one)
+            for message in chance.sample(list(owner.held), min(len(owner.held), chance.randrange(3))):
+                owner.over(message, 200 if chance.random() < 0.3 else 0)
+
+    go_on(chance.randrange(80))
+    reader = Journal(tmp_path, 60_000, still=True)
+    before = set(reader.segments)
+    go_on(chance.choice([0, 1, 40, 400]))
+    reader.catch_up()
+    fresh = Journal(tmp_path, 60_000, still=True)
+    assert list(reader.held) == list(fresh.held) and set(reader.held) == set(owner.held)
+    assert set(reader.past) == set(owner.past) == set(fresh.past)
+    assert {n: s.size for n, s in reader.segments.items()} == {n: s.size for n, s in owner.segments.items()}
+    assert reader.bytes == owner.bytes and reader.live == fresh.live
+    assert before - set(reader.segments) or len(owner.segments) >= len(before)
+    owner.close()
+    reader.go_on()
+    assert max(reader.segments) == max(owner.segments) + 1
+    reader.close()
