--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -11,6 +11,7 @@
 
 from loftrelay.app import build
 from loftrelay.config import Config, ConfigError, reload
+from loftrelay.core.engine import Engine
 from loftrelay.core.steps import reached
 from loftrelay.delivery.pools import Limits
 from loftrelay.fronts.control.relay import Relay
@@ -57,8 +58,10 @@
 
     def read_again(self) -> None:
         engine = self.relay.engine
-        if engine is None:
-            self.to_read = True
+        if engine is None or engine.away is not None:
+            self.to_read = True  # once it serves, or serves again
+            if self.giver is not None and not self.giver.owns:
+                self.giver.have_file_read()
             return
         try:
             change = reload(os.environ, self.told)
@@ -107,7 +110,7 @@
         server = Server(engine, config.most_clients)
         address = await server.listen(config.listen, config.accept)
         if taker is not None:
-            taker.attach(engine, server.adopt, self.relay.change)
+            taker.attach(engine, server.adopt, self.relay.change, self.read_again)
             if recorder is None:  # what the store has not said yet can't be handed over
                 self.giver = Giver(
                     config.state, lock, engine, server, lambda: self.told, self._moved, self.relay.change,
@@ -118,6 +121,8 @@
         reached("taken over")
         if self.to_read:
             self.read_again()
+        elif handed is not None:
+            self._read_what_was_missed(engine)
         await self.ending.wait()
         began = asyncio.get_running_loop().time()
         self.relay.serving = False
@@ -140,6 +145,17 @@
         journal.close()
         lock.release()
 
+    def _read_what_was_missed(self, engine: Engine) -> None:
+        """The file may have been replaced, and SIGHUP sent to the process before, since this one read it."""
+        try:
+            change = reload(os.environ, self.told)
+        except ConfigError:
+            return  # what is in force stays
+        if change.told != self.told:
+            self.told = change.told
+            self.last.save(change.told)
+            engine.retune(change.settings, change.discovery)
+
     async def _open_door(self) -> Door | None:
         if self.config.control is None:
             return None
@@ -174,6 +190,9 @@
     def _moved(self, away: bool) -> None:
         self.relay.elsewhere = self.giver if away else None
         self.relay.serving = not away
+        if not away and self.to_read:
+            self.to_read = False
+            self.read_again()
 
     def _stop(self, owns: bool) -> None:
         self.owns = owns
--- a/loftrelay/upgrade/predecessor.py
+++ b/loftrelay/upgrade/predecessor.py
@@ -87,6 +87,10 @@
         self.changes[self.number] = host, out, done
         self._tell({"is": "change", "n": self.number, "host": host, "out": out})
 
+    def have_file_read(self) -> None:
+        """The platform's file was replaced."""
+        self._tell({"is": "file"})
+
     def _tell(self, message: dict[str, Any]) -> None:
         if self.owns or self.channel is None:
             self.late.append(message)
@@ -198,7 +202,7 @@
         assert self.channel is not None
         if self.plain:
             self.engine.delivery.close()  # the other one holds these calls for broken
-            self.late = [message for message in self.late if message["is"] == "change"]
+            self.late = [message for message in self.late if message["is"] in ("change", "file")]
         late, self.late = self.late, []
         for message in late:
             self.channel.send(message)
--- a/loftrelay/upgrade/successor.py
+++ b/loftrelay/upgrade/successor.py
@@ -69,9 +69,9 @@
         assert self.journal is not None
         return self.journal
 
-    def attach(self, engine: Engine, adopt: Adopt, change: Change) -> None:
+    def attach(self, engine: Engine, adopt: Adopt, change: Change, read_file: Callable[[], None]) -> None:
         """From now on what still comes takes effect."""
-        self.engine, self.adopt, self.change = engine, adopt, change
+        self.engine, self.adopt, self.change, self.read_file = engine, adopt, change, read_file
         backlog, self.backlog = self.backlog, []
         for message, files in backlog:
             self._heard(message, files)
@@ -111,6 +111,8 @@
                 task = asyncio.get_running_loop().create_task(self._adopt(message, files.pop()))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
+            elif kind == "file":
+                self.read_file()
             elif kind == "change":
                 number = message["n"]
                 self.change(message["host"], bool(message["out"]), lambda why: self._changed(number, why))
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -344,9 +344,10 @@
         if name in self.out and endpoint is not None:
             endpoint.out, endpoint.failures, endpoint.avoid_until = False, 0, 0
             gate, siblings = endpoint.gate, endpoint.destination.endpoints
+            # One of several adds to what the others bear; a cold budget would take from that.
             if not any(e.serves for e in siblings if e is not endpoint and e.gate is gate):
                 gate.outage, gate.errors, gate.failures, gate.window = False, 0.0, 0, max(1.0, gate.window)
-            gate.cold_since = self.now
+                gate.cold_since = self.now
         self.out.discard(name)
 
     def avoided(self) -> int:
--- a/tests/fronts/control/test_door.py
+++ b/tests/fronts/control/test_door.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import subprocess
 import sys
 from pathlib import Path
@@ -208,3 +209,28 @@
             pass
 
     run(scenario, tmp_path)
+
+
+def test_clients_that_use_up_all_descriptors_do_not_shut_the_door(tmp_path: Path) -> None:
+    """They get theirs, and the door has its own: each call is answered, however many connect."""
+
+    async def scenario(w: World) -> None:
+        await w.host(deliver)
+        w.control = f"127.0.0.1:{free_port()}"
+        w.limits["sockets"] = 160
+        await w.start()
+        assert w.process is not None
+        resource.prlimit(w.process.pid, resource.RLIMIT_NOFILE, (160, 160))
+        clients = [await asyncio.open_connection(*w.address) for _ in range(300)]
+        for _, writer in clients[::3]:
+            writer.write(b"POST /status HTTP/1.1\r\n")
+        for _ in range(3):
+            assert await w.call("ready") == "YES\n"
+            assert (await w.call("show-stat")).endswith("\nEND\n")
+            assert await w.call("disable-server h0") == "YES\n"
+            assert await w.call("enable-server h0") == "YES\n"
+        assert not any("Too many open files" in line for line in w.log)
+        for _, writer in clients:
+            writer.close()
+
+    run(scenario, tmp_path)
--- a/tests/mulleinlead/test_out_of_service.py
+++ b/tests/mulleinlead/test_out_of_service.py
@@ -118,3 +118,16 @@
     assert driver.brain.avoided() == 1
     driver.feed(api.BroughtBack("h"))
     assert driver.brain.avoided() == 0
+
+
+def test_one_of_several_that_comes_back_does_not_slow_the_others_down() -> None:
+    """The rest bore the load without it; a cold budget for all of them would be less than that."""
+    driver = Driver(entry("a"), entry("b"))  # one gate for both
+    driver.feed(api.TakenOut("a"))
+    driver.feed(api.BroughtBack("a"), after=5 * S)
+    assert driver.brain.endpoints["b"].gate.cold_since is None
+    driver.feed(api.TakenOut("a"), api.TakenOut("b"))
+    driver.feed(api.BroughtBack("a"), after=5 * S)
+    assert driver.brain.endpoints["b"].gate.cold_since == driver.now
+    driver.feed(api.BroughtBack("b"), after=S)
+    assert driver.brain.endpoints["b"].gate.cold_since == driver.now - S
--- a/tests/program/test_upgrade.py
+++ b/tests/program/test_upgrade.py
@@ -298,3 +298,27 @@
              "RELAY_ACCEPT_FD": text},
     )  # fmt: skip
     assert done.returncode == 2 and done.stderr.count("\n") == 1 and "RELAY_ACCEPT_FD" in done.stderr
+
+
+def test_settings_that_change_in_the_midst_of_a_handover_are_not_missed(tmp_path: Path) -> None:
+    """SIGHUP goes to the process that serves, when the one that follows has read the file already: whether
+    all stand still by then, or it has taken over."""
+
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+        await w.start()
+        await w.until_ready()
+        await w.start_beside()
+        await w.until(lambda: sum("is open to operators" in line for line in w.log) == 2)
+        classes = list(w.settings["classes"])
+        w.settings["classes"] = [*classes, {**classes[0], "name": "second"}]
+        assert w.before is not None
+        w.configure(w.discovery.address)
+        w.before.send_signal(signal.SIGHUP)
+        await w.until_ready()
+        async with asyncio.timeout(HANG):
+            while await w.hand_in("m", "second") != 202:
+                pass
+        await w.until(lambda: host.ids == ["m"])
+
+    play(scenario, tmp_path)
