--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -129,7 +129,10 @@
         if self.owns:
             await self._end_in_order(server, began)
         else:
-            while engine.delivery.busy and asyncio.get_running_loop().time() < began + END:
+            assert self.giver is not None
+            while engine.delivery.busy or self.giver.unfinished:
+                if asyncio.get_running_loop().time() >= began + END:
+                    break
                 await asyncio.sleep(LOOK)
         held = f"{len(journal.held)} messages in its journal" if self.owns else "nothing of its own"
         log.info("%s ends with %s", config.name, held)
--- a/loftrelay/upgrade/channel.py
+++ b/loftrelay/upgrade/channel.py
@@ -5,6 +5,7 @@
 import array
 import asyncio
 import contextlib
+import errno
 import json
 import os
 import socket
@@ -19,6 +20,7 @@
 MOST_BYTES = 64 << 20
 MOST_FILES = 200  # in one message; the system takes 253
 READ = 1 << 18
+AGAIN = 0.005  # seconds until the system may take more descriptors
 
 
 class ChannelError(OSError):
@@ -77,7 +79,7 @@
         return bool(self.queue)
 
     def _write(self) -> None:
-        while self.queue:
+        while self.queue and not self.closed:
             data, copies = self.queue[0]
             ancillary = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", copies))] if copies else []
             try:
@@ -85,8 +87,11 @@
             except BlockingIOError:
                 self.loop.add_writer(self.sock.fileno(), self._write)
                 return
-            except OSError:
-                self._end()
+            except OSError as error:
+                if error.errno == errno.ETOOMANYREFS:  # descriptors on their way that nobody has read yet
+                    self.loop.call_later(AGAIN, self._write)
+                else:
+                    self._end()
                 return
             for copy in copies:
                 os.close(copy)
@@ -95,7 +100,8 @@
                 self.queue[0] = data[written:], copies
             else:
                 self.queue.popleft()
-        self.loop.remove_writer(self.sock.fileno())
+        if not self.closed:
+            self.loop.remove_writer(self.sock.fileno())
 
     def _readable(self) -> None:
         try:
--- a/loftrelay/upgrade/predecessor.py
+++ b/loftrelay/upgrade/predecessor.py
@@ -66,6 +66,11 @@
     def owns(self) -> bool:
         return self.rules.stage is not Stage.GIVEN
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether something of the handover is on its way yet, or a call of an operator not answered."""
+        return self.channel is not None and (self.channel.unsent or bool(self.changes))
+
     def told_to_stop(self) -> None:
         self._do(self.rules.stop())
 
--- a/tests/program/test_upgrade.py
+++ b/tests/program/test_upgrade.py
@@ -175,6 +175,28 @@
     play(scenario, tmp_path)
 
 
+def test_hundreds_of_kept_connections_go_over(tmp_path: Path) -> None:
+    """More than the channel takes at once: the process before must not end while some are on their way."""
+
+    async def scenario(w: World) -> None:
+        w.name(dest=3)
+        await w.start()
+        clients = [Client(w, f"c{n}") for n in range(300)]
+        for client in clients:
+            await client.connect()
+            client.writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            await read_message(client.reader)
+        await w.upgrade()
+        for client in clients:
+            client.writer.write(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        for client in clients:
+            start, _, _ = await read_message(client.reader)
+            assert start.split()[1] == "200"
+            client.close()
+
+    play(scenario, tmp_path, sockets=1024, memory_mb=192)
+
+
 def test_a_host_that_is_out_stays_out_and_a_told_wait_is_heeded(tmp_path: Path) -> None:
     async def scenario(w: World) -> None:
         first, second = await w.host(deliver), await w.host(deliver)
--- a/tests/upgrade/test_channel.py
+++ b/tests/upgrade/test_channel.py
@@ -73,6 +73,27 @@
     play(scenario)
 
 
+def test_more_descriptors_than_the_socket_takes_at_once_all_arrive() -> None:
+    """As many clients as a relay may have, each in a message of its own, before the other side reads one."""
+
+    async def scenario(left: End, right: End) -> None:
+        read, write = os.pipe()
+        count = 600
+        for n in range(count):
+            left.channel.send({"n": n}, [write] if n < 200 else [])
+        assert left.channel.unsent
+        await right.until(lambda: len(right.heard) == count)
+        assert [message["n"] for message, _ in right.heard] == list(range(count))
+        assert not left.channel.unsent
+        for _, files in right.heard:
+            for file in files:
+                os.close(file)
+        os.close(read)
+        os.close(write)
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     "data",
     [
