A segment dropped while it is read ahead does not end the new process

Cause: found by reading the whole change once more. Client.connection_made passed over what a connection had brought when a second handover had begun by then: its half request was lost. to_read was not reset, so that a later handover given up would have counted a SIGHUP twice. A successor lost in the step of giving left an assertion and a process that did not end. Change: read whole once all stand still where reading ahead met that; the connection's row goes on with it; the flag is reset; nothing is handed to nobody.

--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -118,17 +118,17 @@
         self.transport = transport
         self._wait(REQUEST_TIME)
         self.server.arrived(self)
-        if self.server.frozen:
-            transport.pause_reading()  # it was accepted just before all stood still
-            if self.server.giving is not None:
-                self.server.hand_one(self, Kind.NEW, self.server.giving)
-            return
         if self.given is not None:
             if self.given.kind is not Kind.NEW:
                 self.server.place(self, self.given.kind)
                 self._wait(IDLE_TIME)
             if self.given.raw:
                 self.data_received(self.given.raw)
+        if self.server.frozen:  # it was accepted, or came from elsewhere, just before all stood still
+            transport.pause_reading()
+            if self.server.giving is not None:
+                kind = self.given.kind if self.given is not None else Kind.NEW
+                self.server.hand_one(self, kind, self.server.giving)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.gone(self)
--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -113,13 +113,14 @@
             taker.attach(engine, server.adopt, self.relay.change, self.read_again)
             if recorder is None:  # what the store has not said yet can't be handed over
                 self.giver = Giver(
-                    config.state, lock, engine, server, lambda: self.told, self._moved, self.relay.change,
-                    self._stop, self._take_back,
+                    config.state, lock, engine, server, self._moved, self.relay.change, self._stop,
+                    self._take_back,
                 )  # fmt: skip
         log.info("%s listens on %s:%d", config.name, *address)
         self.relay.serving = True
         reached("taken over")
         if self.to_read:
+            self.to_read = False
             self.read_again()
         elif handed is not None:
             self._read_what_was_missed(engine)
--- a/loftrelay/upgrade/predecessor.py
+++ b/loftrelay/upgrade/predecessor.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial
 from pathlib import Path
 from typing import Any, Protocol
@@ -40,16 +40,15 @@
         lock: Lock,
         engine: Engine,
         front: Front,
-        told: Callable[[], Mapping[str, Any]],
         moved: Callable[[bool], None],
         change_here: Callable[[str, bool, Done], None],
         stop: Callable[[bool], None],
         take_back: Callable[[], None],
     ) -> None:
-        """`told`: the file in force. `moved`: whether calls of operators go elsewhere from now on, by
+        """`moved`: whether calls of operators go elsewhere from now on, by
         `change`. `change_here`: carries one out. `stop`: the
         process is to end, as the owner of all or not. `take_back`: it has to start anew from the journal."""
-        self.lock, self.engine, self.front, self.told = lock, engine, front, told
+        self.lock, self.engine, self.front = lock, engine, front
         self.moved, self.change_here = moved, change_here
         self.stop_, self.take_back = stop, take_back
         self.rules = Predecessor()
@@ -147,8 +146,7 @@
                     again = LONGEST_STILL / 1e6 + 0.001
                     self.clock = asyncio.get_running_loop().call_later(again, self._overdue)
                 case Do.TELL if self.channel is not None:
-                    told = {"file": dict(self.told()), **self.engine.state()}
-                    self.channel.send({"is": "state", **told})
+                    self.channel.send({"is": "state", **self.engine.state()})
                     reached("told state")
                 case Do.THAW:
                     self._thaw()
@@ -204,7 +202,8 @@
         )
 
     def _hand_over(self) -> None:
-        assert self.channel is not None
+        if self.channel is None:
+            return  # the other one was lost in this step
         if self.plain:
             self.engine.delivery.close()  # the other one holds these calls for broken
             self.late = [message for message in self.late if message["is"] in ("change", "file")]
--- a/loftrelay/upgrade/successor.py
+++ b/loftrelay/upgrade/successor.py
@@ -33,7 +33,6 @@
         self.lock: Lock | None = None
         self.journal: Journal | None = None
         self.handed: Handed | None = None  # None: from the journal alone
-        self.file: dict[str, Any] | None = None  # in force at the process before
         self.told: dict[str, Any] = {}
         self.channel: Channel | None = None
         self.again = asyncio.Event()  # something is to be done
@@ -147,7 +146,7 @@
             match step:
                 case Next.ASK if self.channel is not None:
                     # While the other one still serves: the less is left to read when it stands still.
-                    self.journal = Journal(self.folder, self.disk_bytes, still=True)
+                    self.journal = self._read_ahead()
                     self.channel.send({"is": "ask", "pid": os.getpid()})
                 case Next.LOAD:
                     self._load()
@@ -171,11 +170,18 @@
                     self.after = RETRY / 1e6
                     self.again.set()
 
+    def _read_ahead(self) -> Journal | None:
+        """None where its owner has dropped a segment just then: it is read whole once all stand still."""
+        try:
+            return Journal(self.folder, self.disk_bytes, still=True)
+        except FileNotFoundError:
+            return None
+
     def _load(self) -> None:
-        file = self.told.pop("file", None)
-        self.file = file if isinstance(file, dict) else None
-        assert self.journal is not None
-        self.journal.catch_up()
+        if self.journal is not None:
+            self.journal.catch_up()
+        else:
+            self.journal = Journal(self.folder, self.disk_bytes, still=True)
         try:
             self.handed = read(self.told, self.seed)
         except HandoverError as error:
--- /dev/null
+++ b/tests/upgrade/test_successor.py
@@ -0,0 +1,76 @@
+"""The process that takes over, where its predecessor changes things under it."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from loftrelay.core.clock import wall_clock
+from loftrelay.core.message import Held
+from loftrelay.fronts.http.server import Given, Kind, Server
+from loftrelay.journal.journal import Journal
+from loftrelay.upgrade.successor import Taker
+from tests.core.test_engine import make_engine
+
+
+def test_a_segment_dropped_while_it_is_read_ahead_stops_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its owner serves, and may drop one between the look into the folder and the read."""
+
+    async def main() -> None:
+        owner = Journal(tmp_path, 1_000_000)
+        now = wall_clock()
+        for n in range(5):
+            owner.take(Held(f"m{n}", 0, "status", "acme", 1, None, now, now + 9_000_000, b"body"))
+        taker = Taker(tmp_path, 1_000_000, 1)
+        there = Journal._paths
+        monkeypatch.setattr(Journal, "_paths", lambda self: [tmp_path / "0000000000.log", *there(self)])
+        taker.journal = taker._read_ahead()
+        assert taker.journal is None
+        monkeypatch.setattr(Journal, "_paths", there)  # all stand still by now
+        taker._load()
+        assert taker.journal is not None and list(taker.journal.held) == list(owner.held)
+        owner.close()
+
+    asyncio.run(main())
+
+
+def test_a_client_that_comes_over_while_all_stand_still_again_goes_on_with_what_was_read(
+    tmp_path: Path,
+) -> None:
+    """One handover right after another: the half request that the first one brought is passed on, too."""
+
+    async def main() -> None:
+        engine = make_engine(tmp_path)
+        server = Server(engine, 10)
+        await server.listen(("127.0.0.1", 0))
+        server.freeze()
+        rows: list[dict[str, Any]] = []
+        files: list[int] = []
+
+        def give(row: dict[str, Any], file: int) -> None:
+            rows.append(row)
+            files.append(os.dup(file))
+
+        server.hand(give)
+        assert rows == []
+        here, there = socket.socketpair()
+        half = b"POST /status HTTP/1.1\r\nHost: x\r\nRequest-Id: m\r\n"
+        await server.adopt(Given(Kind.ONCE, half, -1).row(), here.detach())
+        while not rows:
+            await asyncio.sleep(0)
+        assert Given.read(rows[0], -1) == Given(Kind.ONCE, half, -1)
+        assert server.clients() == []
+        there.close()
+        os.close(files[0])
+        assert server.sweeping is not None
+        server.sweeping.cancel()
+        engine.notices.close()
+
+    asyncio.run(main())
