--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -120,6 +120,10 @@
             if 0 <= now - self.last_turn < self.tick:
                 self.due_at = self.last_turn + self.tick
                 loop.call_at(self.due_at, self._turn)
+            elif self.pulse.age(now):
+                # What is read on waking may be old: that its client has left since is read in the next pass.
+                self.due_at = now + self.tick
+                loop.call_at(self.due_at, self._turn)
             else:
                 # Not at a time: a clock that steps back would hold up every turn until it has caught up.
                 self.due_at = now
