A message's life has one owner, and the engine takes authorities besides the module

Need: verdicts, grants and terms come as three more authorities, while a message's standing lay in six dictionaries of core/engine.py side by side.

Change: core/life.py holds it as a pure state machine of nine stages, with one table of what may follow what; a step outside it is logged as a fault and fails every test. Ports Permit (the store of record is the first) and Watcher, and Engine.hear; none by default.

--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -11,6 +11,7 @@
 
 from loftrelay.core.clock import wall_clock
 from loftrelay.core.handover import Handed, tell
+from loftrelay.core.life import Lives, Stage
 from loftrelay.core.message import Held
 from loftrelay.core.ports import (
     Away,
@@ -20,9 +21,11 @@
     Journal,
     JournalFull,
     NoticeBoard,
+    Permit,
     Record,
     Taken,
     Terms,
+    Watcher,
 )
 from loftrelay.core.pulse import STALL, Pulse
 from loftrelay.core.steps import reached
@@ -64,10 +67,11 @@
         self.settings = settings
         self.journal = journal
         self.record = record
-        self.entering: dict[str, Callable[[int, int], None]] = {}  # the store does not have them yet
-        self.closing: set[str] = set()  # delivered, and the store does not have that yet
+        # Authorities besides the module, in the order in which they are asked; none by default.
+        self.permits: list[Permit] = [] if record is None else [record]
+        self.watchers: list[Watcher] = []
+        self.lives = Lives(self._fault)
         self.unsettled: dict[int, float] = {}  # destination -> when it last told of anything but success
-        self.untold: dict[str, dict[str, Any]] = {}  # ends that the store must have before they are told
         self.brain = Brain(seed, settings)
         self.accepted = Accepted(settings)
         self.figures = Figures(settings.classes)
@@ -75,8 +79,6 @@
         self.tick = (settings.tick or NO_TICK) / 1e6
         self.bundles: dict[str, int] = {}  # hosts in the list, and how many messages a call to them holds
         self.entries: dict[str, tuple[api.Entry, Address]] = {}  # the list
-        self.sent_at: dict[str, int] = {}
-        self.unanswered: dict[str, Callable[[int, int], None]] = {}
         self.events: list[api.Event] = []
         self.posted: list[float] = []  # when each of them became known
         self.turn_due = False
@@ -90,7 +92,6 @@
         self.stopped = False
         self.away: Away | None = None  # this process decides nothing: who hears what still becomes known
         self.given = False  # another process owns all that is held here
-        self.abroad: dict[str, str] = {}  # messages out in calls of the process before this one, and where to
 
     def connect(
         self,
@@ -108,8 +109,16 @@
         self.delivery, self.discovery, self.notices = delivery, discovery, notices
         self._recover(known)
 
+    def _fault(self, message: str, before: Stage | None, after: Stage | None) -> None:
+        names = [stage.value if stage is not None else "none" for stage in (before, after)]
+        log.error("a fault of the program: %s went from %s to %s", message, *names)
+
     # Events
 
+    def hear(self, event: api.Event) -> None:
+        """What an authority besides this relay tells the module."""
+        self._post(event)
+
     def _post(self, event: api.Event) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
@@ -140,16 +149,21 @@
     @property
     def open(self) -> int:
         """Messages whose end is not decided."""
-        return len(self.journal.held) - self.notices.open - len(self.closing) - len(self.untold)
+        numbers = self.lives.numbers
+        ending = numbers[Stage.CLOSING] + numbers[Stage.UNTOLD]
+        return len(self.journal.held) - self.notices.open - ending
 
     @property
     def unfinished(self) -> bool:
         """Whether something is out that an orderly end waits for."""
-        return bool(self.delivery.busy or self.notices.open or self.closing or self.untold)
+        numbers = self.lives.numbers
+        return bool(
+            self.delivery.busy or self.notices.open or numbers[Stage.CLOSING] or numbers[Stage.UNTOLD]
+        )
 
     def awaits(self, message: str) -> bool:
         """Whether its client has no answer yet."""
-        return message in self.unanswered or message in self.entering
+        return self.lives.stage(message) in (Stage.ENTERING, Stage.UNANSWERED)
 
     def submit(self, held: Held, answer: Callable[[int, int], None]) -> None:
         """Takes a message in. The answer, a status and when to come back (ms), is given in this turn. While
@@ -172,7 +186,7 @@
             return
         reached("journal take")
         if self.record is not None:
-            self.entering[held.id] = answer
+            self.lives.ask(held.id, answer)
             self.record.take(held, partial(self._recorded, held, ends))
         else:
             self._enter(held, answer, ends)
@@ -184,21 +198,23 @@
     def _enter(self, held: Held, answer: Callable[[int, int], None], ends: float) -> None:
         """`ends`: its time, in the loop's seconds. The wall clock may have stepped since it came."""
         if self.stopped:
+            self.lives.wait(held.id)
             answer(TAKEN, 0)
             return
-        self.unanswered[held.id] = answer
+        self.lives.enter(held.id, answer)
         left = int((ends - asyncio.get_running_loop().time()) * 1e6)
         self._post(replace(self._submission(held), remaining=left))
 
     def _recorded(self, held: Held, ends: float, taken: Taken) -> None:
         """What the store of record says of a message that is to be taken on."""
         reached("recorded take")
-        answer = self.entering.pop(held.id, None)
+        answer = self.lives.asked(held.id)
         if taken.status or taken.retry_ms:
             self.journal.over(held.id)
-            if answer is not None and not taken.status:
-                self.figures.ended(held.class_name, End.DECLINED)
             if answer is not None:
+                self.lives.over(held.id)
+                if not taken.status:
+                    self.figures.ended(held.class_name, End.DECLINED)
                 answer(taken.status or REFUSED, taken.retry_ms)
         elif answer is not None:
             self._enter(held, answer, ends)
@@ -213,7 +229,7 @@
         again under its id makes no second effect. One whose notice is out gets that same end: the notice may
         have been heard already, and nothing would follow a 202."""
         if (held := self.journal.held.get(message)) is not None:
-            if held.notice is None or message in self.closing or message in self.untold:
+            if held.notice is None or self.lives.stage(message) in (Stage.CLOSING, Stage.UNTOLD):
                 return TAKEN, 0
             if held.notice["status"] == "deferred":
                 return REFUSED, held.notice.get("again_ms") or REFUSED_HERE_MS
@@ -227,18 +243,18 @@
         self._answer_taken()
 
     def _answer_taken(self) -> None:
-        for answer in self.unanswered.values():
-            answer(TAKEN, 0)
-        if self.unanswered:
-            self.unanswered.clear()
+        if answers := self.lives.take():
+            for answer in answers:
+                answer(TAKEN, 0)
             reached("answered taken")
 
     def withdraw(self, message: str) -> None:
         """The client went before its answer."""
-        if self.entering.pop(message, None) is not None:
-            self.journal.over(message)
-        if self.unanswered.pop(message, None) is not None:
+        stage = self.lives.stage(message)
+        if stage in (Stage.ENTERING, Stage.UNANSWERED):
+            self.lives.over(message)
             self.journal.over(message)
+        if stage is Stage.UNANSWERED:
             self._record_end(message, "refused")
             self._post(api.Withdrawn(message))
 
@@ -258,7 +274,7 @@
             self.timer.cancel()
         for held, host in self.delivery.recall():
             held.attempts -= 1
-            self.sent_at.pop(held.id, None)
+            self.lives.back(held.id)
             self.posted.append(asyncio.get_running_loop().time())
             self.events.append(
                 api.Outcome(
@@ -280,7 +296,7 @@
         """What the next process needs beside the journal. To be asked while this one stands still."""
         return tell(
             self.brain, self.events, self.entries.values(), self.discovery.revision, self.discovery.address,
-            self.destinations, self.sent_at, self.accepted.dropped,
+            self.destinations, self.lives.calls(), self.accepted.dropped,
         )  # fmt: skip
 
     def take_over(
@@ -289,7 +305,7 @@
         """In place of `connect`: goes on where another process stood still."""
         self.brain, self.now = handed.module, max(self._clock(), handed.module.now)
         self.out = set(handed.module.out)
-        self.sent_at, self.destinations = handed.sent_at, handed.destinations
+        self.destinations = handed.destinations
         self.accepted.dropped = {n: d for n, d in handed.dropped.items() if n not in self.settings.classes}
         self.delivery, self.discovery, self.notices = delivery, discovery, notices
         for entry, address in handed.entries:
@@ -297,7 +313,7 @@
         self.events = [self._as_of_now(event) for event in handed.events]
         self.posted = [asyncio.get_running_loop().time()] * len(self.events)
         self._post(api.Retuned(self.settings))
-        self._reconcile()
+        self._reconcile(handed.sent_at)
         self.discovery.resume(handed.revision)
 
     def _as_of_now(self, event: api.Event) -> api.Event:
@@ -305,19 +321,22 @@
         held = self.journal.held.get(event.message) if isinstance(event, api.Submit) else None
         return event if held is None else self._submission(held)
 
-    def _reconcile(self) -> None:
+    def _reconcile(self, sent_at: Mapping[str, int]) -> None:
         """Every message of the journal is known to the module, and the other way round."""
         heard = {event.message for event in self.events if isinstance(event, api.Outcome)}
         coming = {event.message for event in self.events if isinstance(event, api.Submit)}
         for message in self.brain.messages.values():
             if message.call is not None and message.name not in heard:
-                self.abroad[message.name] = message.call.endpoint.name
+                self.lives.abroad(message.name, message.call.endpoint.name, sent_at.get(message.name))
             if message.name not in self.journal.held:
                 self._post(api.Withdrawn(message.name))
         now = wall_clock()
         for held in sorted(self.journal.held.values(), key=lambda held: held.number):
-            if held.tried_at is not None and held.id not in self.abroad:
+            abroad = self.lives.stage(held.id) is Stage.ABROAD
+            if held.tried_at is not None and not abroad:
                 self.journal.outcome(held, api.Result.NOT_SENT)
+            if held.notice is None and not abroad:
+                self.lives.wait(held.id)
             if held.notice is not None:
                 self._tell(held.id, held.notice)
             elif held.id not in self.brain.messages and held.id not in coming:
@@ -326,15 +345,15 @@
 
     def lose_abroad(self) -> None:
         """The process before this one is gone with the calls that it still had out: they may have run."""
-        for message, host in list(self.abroad.items()):
-            self.heard_abroad(message, host, Ending(api.Result.BROKEN))
+        for message in self.lives.at(Stage.ABROAD):
+            self.heard_abroad(message, self.lives.of[message].host, Ending(api.Result.BROKEN))
 
     def heard_abroad(self, message: str, host: str, ending: Ending) -> None:
         """The outcome of a call of the process before this one."""
         if (held := self.journal.held.get(message)) is not None:
             self.ended(held, host, ending)
             return
-        self.abroad.pop(message, None)
+        self.lives.over(message)
         self._post(
             api.Outcome(message, 0, host, ending.result, 0, ending.over, ending.wait, None, None, ending.idle)
         )
@@ -365,6 +384,8 @@
             self._post(self._recovered(held, now))
             if held.notice is not None:
                 self._tell(held.id, held.notice)
+            else:
+                self.lives.wait(held.id)
         for message in self.record.unheld(self.journal.held) if self.record is not None else ():
             self._mend_unheld(message)
         if messages:
@@ -427,7 +448,7 @@
     # What operators ask
 
     def figure_lines(self) -> list[str]:
-        outstanding = 0 if self.given else len(self.journal.held) - len(self.closing)
+        outstanding = 0 if self.given else len(self.journal.held) - self.lives.numbers[Stage.CLOSING]
         return self.figures.lines(Gauges(outstanding, len(self.bundles), self.brain.avoided()))
 
     def knows_host(self, host: str) -> bool:
@@ -441,6 +462,8 @@
             self.out.add(host)
             self.delivery.drain(host)
             self._post(api.TakenOut(host))
+            for watcher in self.watchers:
+                watcher.taken_out(host)
 
     def bring_back(self, host: str) -> None:
         if host in self.out:
@@ -449,6 +472,8 @@
             if host in self.entries:
                 self._place(*self.entries[host])
             self._post(api.BroughtBack(host))
+            for watcher in self.watchers:
+                watcher.brought_back(host)
 
     def listed(self, listing: api.Listing, addresses: Mapping[str, Address]) -> None:
         if listing.form is api.Form.FULL:
@@ -475,7 +500,7 @@
 
     def _unsettle(self, destination: int) -> None:
         """What was decided for it before may hold no more: a wait, a drain, a failure."""
-        if self.record is not None:
+        if self.permits:
             self.unsettled[destination] = asyncio.get_running_loop().time()
 
     def _forget(self, host: str) -> None:
@@ -488,7 +513,8 @@
         if self.away is not None:
             self.away.ended(held.id, host, ending)
             return
-        self.abroad.pop(held.id, None)
+        now = self._clock()
+        sent_at = self.lives.back(held.id)
         attempt = held.attempts - 1
         if ending.stale:
             log.info("%s was not sent: the process stood still since that was decided", held.id)
@@ -497,11 +523,13 @@
             self._close(held)
         else:
             self.journal.outcome(held, ending.result)
-            if self.record is not None:
-                self.record.outcome(held.id, ending.result.name)
+            for permit in self.permits:
+                permit.outcome(held.id, ending.result.name)
+        for watcher in self.watchers:
+            watcher.ended(held, host, ending)
         if not ending.over or ending.wait:
             self._unsettle(held.destination)
-        elapsed = self._clock() - self.sent_at.pop(held.id, self._clock())
+        elapsed = now - sent_at if sent_at is not None else 0
         self._post(
             api.Outcome(
                 held.id, attempt, host, ending.result, elapsed, ending.over, ending.wait,
@@ -515,16 +543,17 @@
         self.figures.ended(held.class_name, End.SUCCEEDED)
         if self.record is None:
             self.journal.over(held.id, remembered)
+            self.lives.over(held.id)
             return
         if held.notice is None:
             self.journal.end(held.id, {"status": "delivered"})
         reached("journal end")
-        self.closing.add(held.id)
+        self.lives.close(held.id)
         self.record.end(held.id, "delivered", "OK", partial(self._closed, held.id, remembered))
 
     def _closed(self, message: str, remembered: int) -> None:
         assert self.record is not None
-        self.closing.discard(message)
+        self.lives.over(message)
         self.journal.over(message, remembered)
         reached("journal over")
         self.record.told(message)
@@ -547,6 +576,7 @@
         remembered = failed and held is not None and not may_repeat(held.terms)
         if held is not None:
             self.figures.ended(held.class_name, End.ABORTED if failed else End.DECLINED)
+        self.lives.over(message)
         self.journal.over(message, FAILED if remembered else 0)
         if self.record is not None:
             self.record.told(message)
@@ -639,7 +669,7 @@
         messages = [self.journal.held[send.message] for send in sends]
         for held in messages:
             held.attempts += 1
-            self.sent_at[held.id] = self.now
+            self.lives.send(held.id, self.now)
         # By the module's clock, which does not step, and as of now: a turn may have taken long.
         ends = min(self.brain.messages[held.id].deadline for held in messages)
         left = ends - self._clock() + (LATE_ANSWER if batch else 0)
@@ -647,31 +677,39 @@
         limits = [send.most_idle for send in sends if send.most_idle is not None]
         unsafe = any(not may_repeat(held.terms) for held in messages)
         terms = Terms(timeout / 1e6, batch, unsafe, min(limits, default=None))
-        if self.record is None:
+        self._ask(0, host, messages, terms)
+
+    def _ask(self, place: int, host: str, messages: list[Held], terms: Terms) -> None:
+        """Each authority in turn; then the call begins."""
+        if place == len(self.permits):
             self.delivery.send(host, messages, terms)
-        else:
-            began = asyncio.get_running_loop().time()
-            self.record.intend(messages, host, partial(self._intended, host, messages, terms, began))
+            return
+        began = asyncio.get_running_loop().time()
+        done = partial(self._asked, place, host, messages, terms, began)
+        self.permits[place].intend(messages, host, done)
 
-    def _intended(self, host: str, messages: list[Held], terms: Terms, began: float, committed: bool) -> None:
-        """The store of record has the intent of an attempt, or not. What was decided holds no longer than a
-        moment where a drain or a wait may have been told since."""
+    def _asked(
+        self, place: int, host: str, messages: list[Held], terms: Terms, began: float, granted: bool
+    ) -> None:
+        """An authority lets an attempt begin (the store of record has its intent), or not. What was decided
+        holds no longer than a moment where a drain or a wait may have been told since."""
         took = asyncio.get_running_loop().time() - began
         calm = self.unsettled.get(messages[0].destination, 0.0) < began
-        if committed and took < (LONGEST_CALM_INTENT if calm else LONGEST_INTENT) and not self.stopped:
-            self.delivery.send(host, messages, replace(terms, timeout=max(0.0, terms.timeout - took)))
+        if granted and took < (LONGEST_CALM_INTENT if calm else LONGEST_INTENT) and not self.stopped:
+            self._ask(place + 1, host, messages, replace(terms, timeout=max(0.0, terms.timeout - took)))
             return
-        again = max(LATE_MS, self.record.retry_ms if self.record is not None else 0)
+        for permit in self.permits[: place + 1]:
+            for held in messages:
+                permit.outcome(held.id, api.Result.NOT_SENT.name)
+        again = max(LATE_MS, self.permits[place].retry_ms)
         for held in messages:
             self._put_off(held, host, again)
 
     def _put_off(self, held: Held, host: str, again_ms: int) -> None:
-        """An attempt was not begun for want of the store of record. It costs no try: a store that is away for
+        """An attempt was not begun for want of an authority's word. It costs no try: a store that is away for
         a moment would use up all of them."""
         held.attempts -= 1
-        if self.record is not None:
-            self.record.outcome(held.id, api.Result.NOT_SENT.name)
-        self.sent_at.pop(held.id, None)
+        self.lives.back(held.id)
         self._post(
             api.Outcome(
                 held.id, held.attempts, host, api.Result.NOT_SENT, 0, False, 0, None, None, None, False,
@@ -682,7 +720,7 @@
     def _end(self, message: str, status: int, again_ms: int) -> None:
         if self.record is not None:
             again_ms = again_ms or (self.record.retry_ms if status == REFUSED else 0)
-        if answer := self.unanswered.pop(message, None):
+        if answer := self.lives.refuse(message):
             if self.record is None:
                 self._answer_end(message, answer, status, again_ms)
             else:
@@ -702,6 +740,7 @@
         if (held := self.journal.held.get(message)) is not None:
             self.figures.ended(held.class_name, End.ABORTED if status == FAILED else End.DECLINED)
         self.journal.over(message)
+        self.lives.over(message)
         answer(status, again_ms)
         self._post(api.Noticed(message))
         if self.record is not None:
@@ -710,13 +749,14 @@
     def _tell(self, message: str, notice: dict[str, Any]) -> None:
         """Gives the platform the final answer, once the store of record has it."""
         if self.record is None:
+            self.lives.tell_at_once(message)
             self.notices.add(message, notice)
             return
-        self.untold[message] = notice
+        self.lives.end(message, notice)
         answer = "failed" if notice["status"] == "undeliverable" else "refused"
         self.record.end(message, answer, None, partial(self._tell_now, message))
 
     def _tell_now(self, message: str) -> None:
         reached("tell")
-        if (notice := self.untold.pop(message, None)) is not None:
+        if (notice := self.lives.tell(message)) is not None:
             self.notices.add(message, notice)
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -9,6 +9,16 @@
 from loftrelay.core import engine, pulse
 
 
+@pytest.fixture(autouse=True)
+def no_faults(monkeypatch: pytest.MonkeyPatch) -> None:
+    """No message takes a step that its life does not know."""
+
+    def fault(self: engine.Engine, message: str, *steps: object) -> None:
+        raise AssertionError(f"{message}: {steps}")
+
+    monkeypatch.setattr(engine.Engine, "_fault", fault)
+
+
 @pytest.fixture
 def no_stalls(monkeypatch: pytest.MonkeyPatch) -> None:
     """That the loop does not run meanwhile is no sign that the process stood still."""
--- a/tests/core/test_counts.py
+++ b/tests/core/test_counts.py
@@ -15,6 +15,7 @@
 from loftrelay.core.clock import wall_clock
 from loftrelay.core.engine import Engine
 from loftrelay.core.handover import HandoverError, read, read_ending, tell_ending
+from loftrelay.core.life import Stage
 from loftrelay.core.message import Held
 from loftrelay.core.ports import Ending
 from loftrelay.figures.registry import End
@@ -77,7 +78,7 @@
                 )  # fmt: skip
                 self.handed_in += 1
                 engine.submit(held, lambda status, _: self.statuses.update([status]))
-                if draw.random() < 0.2 and held.id in engine.unanswered:
+                if draw.random() < 0.2 and engine.awaits(held.id):
                     engine.withdraw(held.id)
                     self.withdrawn += 1
             case 2 if self.out:
@@ -145,7 +146,7 @@
         second_journal.go_on()
         ended_before = sum(first.figures.ends.values())
         second, _ = build(config(tmp_path), journal=second_journal, handed=handed)
-        assert set(second.abroad) == {held.id for held, _ in steps.out}
+        assert set(second.lives.at(Stage.ABROAD)) == {held.id for held, _ in steps.out}
         steps.use(second)
         second._turn()
         steps.check(ended_before)
@@ -155,7 +156,7 @@
         outstanding = len(second.journal.held)
         second.lose_abroad()
         second._turn()
-        assert second.abroad == {} and len(second.journal.held) <= outstanding
+        assert not second.lives.at(Stage.ABROAD) and len(second.journal.held) <= outstanding
         steps.check(ended_before)
         close(first)
         close(second)
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -69,7 +69,7 @@
         engine.withdraw("gone")
         engine._turn()
         assert answers == {"stays": 202} and list(engine.journal.held) == ["stays"]
-        assert engine.open == 1 and list(engine.sent_at) == ["stays"]
+        assert engine.open == 1 and list(engine.lives.calls()) == ["stays"]
         engine.notices.close()
         engine.delivery.close()
 
@@ -140,6 +140,7 @@
         for name, remaining in lives.items():
             held = Held(name, 0, "order", "acme", 1, None, now, now + remaining)
             engine.journal.take(held)
+            engine.lives.wait(name)
             engine.brain.now = engine._clock()
             engine.brain._accept(engine._submission(held), 0)
         sends = [api.Send(name, "h", remaining, None) for name, remaining in lives.items()]
@@ -180,11 +181,11 @@
         held = engine.journal.held["m"]
         assert sent == ["h"] and held.attempts == 1
         sent.clear()
-        engine.record = Told()
+        engine.permits = [Told()]
         began = asyncio.get_running_loop().time() - late
         if told:
             engine._unsettle(1)
-        engine._intended("h", [held], Terms(3.0, False, True, None), began, committed)
+        engine._asked(0, "h", [held], Terms(3.0, False, True, None), began, committed)
         assert sent == (["h"] if goes else []) and held.attempts == (1 if goes else 0)
         postponed = [event for event in engine.events if isinstance(event, api.Outcome)]
         assert [event.postponed > 0 for event in postponed] == ([] if goes else [True])
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -151,6 +151,7 @@
         self.arguments: list[str] = []
         self.name_ = "n1"
         self.keep_file = False  # the file of the platform stands as it is
+        self.faults: list[str] = []  # of the program itself, as its log tells
         self.control = ""  # where operators call; empty: nowhere
         self.noticed_at: dict[str, float] = {}  # message -> when its notice came (Unix time)
         self.process: asyncio.subprocess.Process | None = None  # the one that was started last
@@ -177,6 +178,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        assert not self.faults
 
     async def peer(self, script: Script) -> Peer:
         peer = Peer(self, script)
@@ -309,6 +311,7 @@
         assert process.stderr is not None
         while line := await process.stderr.readline():
             self.log.append(line.decode().strip())
+            self.faults += [self.log[-1]] * ("a fault of the program" in self.log[-1])
             self.bump()
         await process.wait()
         self.bump()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -31,6 +31,7 @@
     "core/ports.py",
     "core/pulse.py",
     "core/message.py",
+    "core/life.py",
     "core/terms.py",
     "core/handover.py",
     "upgrade/rules.py",
