--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -19,6 +19,7 @@
 from loftrelay.settings.checked import SettingsError
 
 if TYPE_CHECKING:  # what an operator's file asks for is loaded with it: a start should cost little
+    from loftrelay.fleet.settings import FleetSettings
     from loftrelay.record.settings import RecordSettings
 
 log = logging.getLogger("loftrelay")
@@ -43,8 +44,10 @@
         return self.lines <= LINES
 
 
-async def serve(config: Config, connections: Limits, record: RecordSettings | None) -> None:
-    service = Service(config, connections, record)
+async def serve(
+    config: Config, connections: Limits, record: RecordSettings | None, fleet: FleetSettings | None
+) -> None:
+    service = Service(config, connections, record, fleet)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.terminate)
@@ -69,6 +72,11 @@
         "--record", type=Path, metavar="FILE",
         help="the store of record (as deploy/record.toml); without it the journal alone",
     )  # fmt: skip
+    about.add_argument(
+        "--fleet", type=Path, metavar="FILE",
+        help="the relays that this one knows (as deploy/fleet.toml); needs the extra `fleet`; without it "
+        "none. RELAY_FLEET_LISTEN goes before its `listen`",
+    )  # fmt: skip
     return about
 
 
@@ -90,7 +98,7 @@
     handler = logging.StreamHandler()
     handler.addFilter(Throttle())
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", handlers=[handler])
-    connections, record = Limits(), None
+    connections, record, fleet = Limits(), None, None
     try:
         config = load_config(os.environ)
         if asked.connections:
@@ -101,7 +109,11 @@
             from loftrelay.record.settings import load_record
 
             record = load_record(asked.record)
-        asyncio.run(serve(config, connections, record))
+        if asked.fleet:
+            from loftrelay.fleet.settings import load_fleet
+
+            fleet = load_fleet(asked.fleet, os.environ)
+        asyncio.run(serve(config, connections, record, fleet))
     except SettingsError as error:
         print(f"loftrelay: configuration: {error}", file=sys.stderr)
         return 2
--- a/loftrelay/fronts/control/relay.py
+++ b/loftrelay/fronts/control/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from loftrelay.core.engine import Engine
@@ -32,13 +32,16 @@
         self.engine: Engine | None = None  # none before it is loaded
         self.elsewhere: Elsewhere | None = None
         self.serving = False
+        self.more: Callable[[], list[str]] = list  # figures of parts that not every relay has
 
     @property
     def ready(self) -> bool:
         return self.serving
 
     def figures(self) -> list[str]:
-        return Figures().lines(Gauges(0, 0, 0)) if self.engine is None else self.engine.figure_lines()
+        if self.engine is None:
+            return Figures().lines(Gauges(0, 0, 0))
+        return [*self.engine.figure_lines(), *self.more()]
 
     def take_out(self, host: str, done: Done) -> None:
         self.change(host, True, done)
@@ -53,11 +56,18 @@
             return
         done(self._change(host, out))
 
-    def _change(self, host: str, out: bool) -> str | None:
+    def change_for_fleet(self, host: str, out: bool) -> str | None:
+        """An operator said so at another relay. This one's list may not name the host, or not yet. Gives the
+        reason why it can't hold here."""
+        if self.elsewhere is not None:
+            return "another process of this relay is about to decide"  # and hears of it for itself
+        return self._change(host, out, listed=False)
+
+    def _change(self, host: str, out: bool, listed: bool = True) -> str | None:
         engine = self.engine
         if engine is None:
             return "not ready"
-        if not engine.knows_host(host):
+        if listed and not engine.knows_host(host):
             return f"no host has the id {host}"
         if (host in engine.out) == out:
             return None
--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -25,6 +25,8 @@
 from loftrelay.upgrade.successor import Taker
 
 if TYPE_CHECKING:
+    from loftrelay.fleet.settings import FleetSettings
+    from loftrelay.joining import Joined
     from loftrelay.record.settings import RecordSettings
 
 log = logging.getLogger("loftrelay")
@@ -41,8 +43,15 @@
 
 
 class Service:
-    def __init__(self, config: Config, connections: Limits, record: RecordSettings | None) -> None:
-        self.config, self.connections, self.record = config, connections, record
+    def __init__(
+        self,
+        config: Config,
+        connections: Limits,
+        record: RecordSettings | None = None,
+        fleet: FleetSettings | None = None,
+    ) -> None:
+        self.config, self.connections, self.record, self.fleet = config, connections, record, fleet
+        self.joined: Joined | None = None
         self.relay = Relay(HostsOut(config.state))
         self.last = LastFile(config.state)
         self.told: Mapping[str, Any] = config.told  # the file in force
@@ -125,6 +134,7 @@
                     config.state, lock, engine, server, self._moved, self.relay.change, self._stop,
                     self._take_back,
                 )  # fmt: skip
+        joining = await self._join(engine) if self.fleet is not None else None
         log.info("%s listens on %s:%d", config.name, *address)
         self.relay.serving = True
         reached("taken over")
@@ -136,6 +146,10 @@
         await self.ending.wait()
         began = asyncio.get_running_loop().time()
         self.relay.serving = False
+        if joining is not None:
+            joining.cancel()
+        if self.joined is not None:
+            self.joined.close()
         if self.owns:
             await self._end_in_order(server, began)
         else:
@@ -180,6 +194,19 @@
             self.last.save(change.told)
             engine.retune(change.settings, change.discovery)
 
+    async def _join(self, engine: Engine) -> asyncio.Task[None]:
+        """Takes part in the fleet; beside a process that ends, once that has given its socket up."""
+        from loftrelay.joining import Joined  # with its encoding, only where it is used
+
+        assert self.fleet is not None
+        config, beside = self.config, self.config.accept is not None
+        self.joined = Joined(self.fleet, config.name, config.state, engine, self.relay.change_for_fleet)
+        self.relay.more = self.joined.figure_lines
+        starting = asyncio.create_task(self.joined.start(wait=beside))
+        if not beside:
+            await starting
+        return starting
+
     async def _open_door(self) -> Door | None:
         if self.config.control is None:
             return None
--- a/loftrelay/settings/checked.py
+++ b/loftrelay/settings/checked.py
@@ -19,19 +19,23 @@
 class Key:
     """One key of a file.
 
-    A default that is a bool takes true or false; a string, one of `words`, or any where there are none; an
-    int, a whole number, and a float, any number, both from `least` to `most`."""
+    A default that is a bool takes true or false; a tuple, a list of texts; a string, one of `words`, or any
+    where there are none; an int, a whole number, and a float, any number, both from `least` to `most`."""
 
     name: str
-    default: bool | int | float | str
+    default: bool | int | float | str | tuple[str, ...]
     unit: str
     about: str
     least: float = 0
     most: float = 1_000_000
     words: Sequence[str] = ()
 
-    def check(self, value: Any) -> bool | int | float | str:
+    def check(self, value: Any) -> bool | int | float | str | tuple[str, ...]:
         """The value, or ValueError with what it should be."""
+        if isinstance(self.default, tuple):
+            if not isinstance(value, list) or not all(isinstance(part, str) for part in value):
+                raise ValueError("is not a list of texts")
+            return tuple(value)
         if isinstance(self.default, bool):
             if not isinstance(value, bool):
                 raise ValueError("is not true or false")
@@ -53,14 +57,20 @@
         return value
 
 
-def read_toml(path: Path, keys: Sequence[Key]) -> Mapping[str, Any]:
-    """Every key with its value, those that the file leaves out with their defaults. Raises SettingsError."""
+def read_toml(path: Path, keys: Sequence[Key], table: str = "") -> Mapping[str, Any]:
+    """Every key with its value, those that the file leaves out with their defaults. `table`: the one in
+    which they stand, with nothing beside it. Raises SettingsError."""
     import tomllib  # most relays are started without an operator's file
 
     try:
         told = tomllib.loads(path.read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:  # TOMLDecodeError and UnicodeDecodeError are ValueErrors
         raise SettingsError(f"{path}: can't be read: {error}") from error
+    if table:
+        for name, value in told.items():
+            if name != table or not isinstance(value, dict):
+                raise SettingsError(f"{path}: {name} = {value!r}: all keys stand in the table [{table}]")
+        told = told.get(table, {})
     known = {key.name: key for key in keys}
     values: dict[str, Any] = {key.name: key.default for key in keys}
     for name, value in told.items():
--- /dev/null
+++ b/tests/program/test_fleet.py
@@ -0,0 +1,235 @@
+"""Five relays as processes of their own that know each other, with faults on the links between them."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from loftrelay.lab.proxy import Faults, Proxy
+from tests.program.test_stalls import go_on, stop, stopped
+from tests.standins.platform import HANG, Peer, World, deliver, free_port
+
+RELAYS = 5
+BEAT, SUSPECT = 50, 400  # ms
+
+
+class Fleet:
+    """Relays r0 to r4, each with a discovery and two hosts of its own: h0 and h1 of destination 1."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.proxy = Proxy(seed=7)
+        self.worlds: list[World] = []
+        self.hosts: list[tuple[Peer, Peer]] = []
+
+    async def __aenter__(self) -> Fleet:
+        listens = [f"127.0.0.1:{free_port()}" for _ in range(RELAYS)]
+        places = []
+        for n, listen in enumerate(listens):
+            host, _, port = listen.rpartition(":")
+            places.append("{}:{}".format(*await self.proxy.add(f"r{n}", (host, int(port)))))
+        for n in range(RELAYS):
+            folder = self.folder / f"r{n}"
+            folder.mkdir()
+            world = await World(folder).__aenter__()
+            self.worlds.append(world)
+            self.hosts.append((await world.host(deliver), await world.host(deliver)))
+            world.name_ = f"r{n}"
+            world.control = f"127.0.0.1:{free_port()}"
+            (folder / "fleet.toml").write_text(
+                f'[fleet]\nlisten = "{listens[n]}"\nadvertise = "{places[n]}"\n'
+                f'seeds = ["{places[0]}", "{places[1]}"]\nbeat_ms = {BEAT}\nsuspect_ms = {SUSPECT}\n'
+            )
+            world.arguments = ["--fleet", str(folder / "fleet.toml")]
+            await world.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.proxy.close()
+        for world in self.worlds:
+            await world.__aexit__()
+
+    async def figure(self, n: int, name: str) -> int:
+        lines = (await self.worlds[n].call("show-stat")).split()
+        return int(dict(line.split("=") for line in lines if "=" in line)[f"app.{name}"])
+
+    async def until(self, name: str, value: int, relays: list[int]) -> None:
+        """Until each of these relays shows this figure."""
+        async with asyncio.timeout(HANG):
+            for n in relays:
+                while await self.figure(n, name) != value:
+                    await asyncio.sleep(0.02)
+
+    async def until_gone(self, relays: list[int]) -> None:
+        """Until each of these knows the three others of them, and suspects nobody any more."""
+        await self.until("fleet_alive", RELAYS - 2, relays)
+        await self.until("fleet_suspected", 0, relays)
+
+    async def say(self, n: int, line: str) -> None:
+        assert await self.worlds[n].call(line) == "YES\n"
+
+    async def deliver_by(self, n: int, name: str) -> str:
+        """Hands a message in at that relay: the host that it went to."""
+        world, hosts = self.worlds[n], self.hosts[n]
+        await world.hand_in_once_listed(name, 1)
+        await world.until(lambda: any(name in host.ids for host in hosts))
+        return next(f"h{i}" for i, host in enumerate(hosts) if name in host.ids)
+
+
+ALL = list(range(RELAYS))
+Scenario = Callable[[Fleet], Awaitable[None]]
+
+
+def play(scenario: Scenario, folder: Path) -> None:
+    async def main() -> None:
+        async with Fleet(folder) as fleet:
+            await fleet.until("fleet_alive", RELAYS - 1, ALL)
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
+def test_a_host_taken_out_at_one_door_is_out_at_all_and_comes_back_at_all(tmp_path: Path) -> None:
+    """At a tenth of loss, with datagrams doubled and reordered. One relay's state is lost in between."""
+
+    async def scenario(fleet: Fleet) -> None:
+        fleet.proxy.all = Faults(loss=0.1, doubled=0.3, delay=(0.0, 0.05))
+        await fleet.say(3, "disable-server h0")
+        await fleet.until("ejected", 1, ALL)
+        for n in ALL:
+            assert [await fleet.deliver_by(n, f"out{n}-{i}") for i in range(4)] == ["h1"] * 4
+        lost = fleet.worlds[4]
+        await lost.kill()
+        for name in ("hosts-out.json", "fleet-calls.json"):
+            (lost.folder / "state" / name).unlink()
+        await lost.start()
+        await fleet.until("ejected", 1, [4])
+        await fleet.say(0, "enable-server h0")
+        await fleet.until("ejected", 0, ALL)
+        await fleet.until("fleet_alive", RELAYS - 1, ALL)
+
+    play(scenario, tmp_path)
+
+
+def test_halves_that_heal_hold_what_was_said_last(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        for here in (0, 1):
+            for there in (2, 3, 4):
+                fleet.proxy.cut(f"r{here}", f"r{there}")
+        await fleet.until("fleet_alive", 1, [0, 1])
+        await fleet.until("fleet_alive", 2, [2, 3, 4])
+        await fleet.say(0, "disable-server h0")  # and is brought back on this side only
+        await fleet.until("ejected", 1, [0, 1])
+        await fleet.say(4, "disable-server h1")
+        await fleet.until("ejected", 1, [2, 3, 4])
+        await fleet.say(1, "enable-server h0")
+        await fleet.until("ejected", 0, [0, 1])
+        assert await fleet.figure(3, "ejected") == 1
+        fleet.proxy.heal()
+        await fleet.until("fleet_alive", RELAYS - 1, ALL)
+        await fleet.until("ejected", 1, ALL)
+        for n in ALL:
+            assert await fleet.deliver_by(n, f"healed{n}") == "h0"
+
+    play(scenario, tmp_path)
+
+
+def test_a_late_riser_harms_nobody_and_learns_what_it_missed(tmp_path: Path) -> None:
+    """Stopped until all hold it to be gone, it wakes with old datagrams in its socket and an old belief."""
+
+    async def scenario(fleet: Fleet) -> None:
+        await fleet.say(2, "disable-server h0")
+        await fleet.until("ejected", 1, ALL)
+        late = fleet.worlds[2]
+        stop(late)
+        await stopped(late)
+        others = [0, 1, 3, 4]
+        await fleet.until_gone(others)
+        await fleet.say(4, "enable-server h0")
+        await fleet.until("ejected", 0, others)
+        go_on(late)
+        await fleet.until("ejected", 0, ALL)
+        await fleet.until("fleet_alive", RELAYS - 1, ALL)
+        assert await fleet.figure(2, "fleet_stalls") >= 1
+
+    play(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("deaf", [True, False], ids=["hears-nobody", "heard-by-nobody"])
+def test_one_whose_link_is_cut_one_way_puts_nobody_else_out(tmp_path: Path, deaf: bool) -> None:
+    """It would accuse all: the rest go on knowing each other, and it is known again once it is whole."""
+
+    async def scenario(fleet: Fleet) -> None:
+        others = [0, 1, 2, 3]
+        for n in others:
+            way = (f"r{n}", "r4") if deaf else ("r4", f"r{n}")
+            fleet.proxy.cut(*way, both=False)
+        await fleet.until_gone(others)
+        await fleet.say(1, "disable-server h1")
+        await fleet.until("ejected", 1, others)
+        await fleet.until_gone(others)
+        if deaf:
+            assert await fleet.figure(4, "ejected") == 0
+        else:
+            await fleet.until("ejected", 1, [4])  # it hears, and goes by it
+        fleet.proxy.heal()
+        await fleet.until("fleet_alive", RELAYS - 1, ALL)
+        await fleet.until("ejected", 1, ALL)
+
+    play(scenario, tmp_path)
+
+
+def test_a_relay_is_replaced_by_its_next_process(tmp_path: Path) -> None:
+    """The one that takes over has the socket once the one before has ended, and knows what that knew."""
+
+    async def scenario(fleet: Fleet) -> None:
+        world = fleet.worlds[4]
+        await world.end(signal.SIGTERM)
+        world.share_listener()
+        await world.start()
+        await fleet.say(4, "disable-server h0")
+        await fleet.until("ejected", 1, ALL)
+        await world.upgrade()
+        await fleet.until("fleet_alive", RELAYS - 1, ALL)
+        await fleet.say(4, "enable-server h0")
+        await fleet.until("ejected", 0, ALL)
+        await fleet.say(0, "disable-server h1")
+        await fleet.until("ejected", 1, ALL)
+
+    play(scenario, tmp_path)
+
+
+def test_two_by_one_name_and_noise_at_the_socket(tmp_path: Path) -> None:
+    """Of two relays told the same name one stays out of the fleet, and says so; noise is counted."""
+
+    async def scenario(fleet: Fleet) -> None:
+        twin = fleet.worlds[4]
+        await twin.end(signal.SIGKILL)
+        twin.name_ = "r3"
+        await twin.start()
+        async with asyncio.timeout(HANG):
+            while not any("goes by the name r3, too" in line for n in (3, 4) for line in fleet.worlds[n].log):
+                await asyncio.sleep(0.02)
+        await fleet.until("fleet_alive", 3, [0, 1, 2])
+        listen = (fleet.folder / "r0" / "fleet.toml").read_text().split('"')[1]
+        host, _, port = listen.rpartition(":")
+        loop = asyncio.get_running_loop()
+        noise, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=(host, int(port))
+        )
+        for data in (b"", b"LR", b"LR\x01\xff", b"LR\x02....", b"x" * 3000):
+            noise.sendto(data)
+        noise.close()
+        async with asyncio.timeout(HANG):
+            while await fleet.figure(0, "fleet_unreadable") < 3 or not await fleet.figure(
+                0, "fleet_of_another_version"
+            ):
+                await asyncio.sleep(0.02)
+        await fleet.say(0, "disable-server h0")
+        await fleet.until("ejected", 1, [0, 1, 2])
+
+    play(scenario, tmp_path)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -22,7 +22,7 @@
     "delivery": {"core", "net", "settings"},
     "fronts": {"core", "net", "figures"},
     "upgrade": {"core", "net", "journal"},
-    "fleet": {"net"},
+    "fleet": {"net", "settings"},
     "lab": {"fleet", "net"},
 }  # besides themselves and mulleinlead
 PURE = {
@@ -39,6 +39,9 @@
     "fronts/control/protocol.py",
     "settings/platform.py",
     "fleet/membership.py",
+    "fleet/spread.py",
+    "fleet/verdicts.py",
+    "fleet/wire.py",
     "lab/links.py",
 }
 INPUT_OUTPUT = {"asyncio", "socket", "os", "select", "time", "pathlib", "threading", "subprocess"}
