--- a/loftrelay/fleet/membership.py
+++ b/loftrelay/fleet/membership.py
@@ -142,6 +142,7 @@
         self.timing = timing
         self.random = random.Random(seed)
         self.known: dict[str, Known] = {}
+        self.unwell: dict[str, None] = {}  # of these, all that are not held to be alive
         self.news: dict[str, tuple[int, Peer]] = {}  # name -> times told, what
         self.line: list[str] = []  # whom to probe next
         self.number = 0
@@ -180,7 +181,7 @@
         self.open.clear()
         self.passing.clear()
         self._doubt(+1)
-        for known in self.known.values():
+        for known in [self.known[name] for name in self.unwell]:
             if known.peer.state is State.SUSPECT:
                 known.until = max(known.until, now + self.timing.suspect)
         self.due = now
@@ -198,14 +199,15 @@
             elif not probe.helped and now >= probe.ends - self.period // 2:
                 probe.helped = True
                 self._ask_helpers(number, probe.peer)
-        for name, known in list(self.known.items()):
+        for name in list(self.unwell):
+            known = self.known[name]
             if known.peer.state is State.SUSPECT and now >= known.until:
                 if self.alone(now):
                     known.until = now + self.timing.suspect
                 else:
                     self._hold(replace(known.peer, state=State.GONE), now)
             elif known.peer.state is State.GONE and now - known.since > FORGET * self.timing.beat:
-                del self.known[name]
+                del self.known[name], self.unwell[name]
         self.passing = {n: entry for n, entry in self.passing.items() if entry[2] > now}
         if now >= self.due:
             self.due = now + self.period
@@ -218,7 +220,8 @@
     @property
     def next(self) -> int:
         """When `tick` is to be called, at the latest."""
-        times = [self.due, *(k.until for k in self.known.values() if k.peer.state is State.SUSPECT)]
+        unwell = [self.known[name] for name in self.unwell]
+        times = [self.due, *(k.until for k in unwell if k.peer.state is State.SUSPECT)]
         for probe in self.open.values():
             times.append(probe.ends if probe.helped else probe.ends - self.period // 2)
         return min(times)
@@ -242,7 +245,8 @@
 
     def _call_afar(self) -> None:
         """One that is gone, or a seed: two halves find each other again, and who came before its seeds."""
-        places = [k.peer.address for k in self.known.values() if k.peer.state is State.GONE]
+        unwell = [self.known[name] for name in self.unwell]
+        places = [k.peer.address for k in unwell if k.peer.state is State.GONE]
         here = {k.peer.address for k in self.known.values() if k.peer.state is not State.GONE}
         places += [place for place in self.seeds if place not in here]
         if places:
@@ -349,6 +353,10 @@
     def _hold(self, peer: Peer, now: int) -> None:
         before = self.known.get(peer.name)
         self.known[peer.name] = Known(peer, now)
+        if peer.state is State.ALIVE:
+            self.unwell.pop(peer.name, None)
+        else:
+            self.unwell[peer.name] = None
         self.news[peer.name] = 0, peer
         if before is None or before.peer.state is not peer.state or before.peer.life != peer.life:
             self.out.append(Changed(peer))
@@ -402,8 +410,11 @@
             else:
                 self.news[name] = times + 1, peer
         # Room that is left tells of whom chance names: what was lost on the way is made good so.
-        spare = [k.peer for n, k in self.known.items() if n not in order]
-        told += self.random.sample(spare, min(len(spare), SPARE, NEWS_AT_ONCE - len(told)))
+        room = min(SPARE, NEWS_AT_ONCE - len(told))
+        if room > 0:
+            names = list(self.known)
+            chosen = self.random.sample(names, min(len(names), room + len(order)))
+            told += [self.known[name].peer for name in chosen if name not in order][:room]
         return tuple(told)
 
     def tell_all(self, addresses: Iterable[Address]) -> list[Action]:
--- a/loftrelay/fleet/node.py
+++ b/loftrelay/fleet/node.py
@@ -117,7 +117,9 @@
         for action in list(actions):
             match action:
                 case Tell(address, datagram):
-                    self._send(address, encode(self.told.name, datagram, self.calls.pick(len(self.members))))
+                    self._send(
+                        address, encode(self.told.name, datagram, self.calls.pick(len(self.view.known)))
+                    )
                 case Changed(peer):
                     log.info("relay %s at %s:%d is %s", peer.name, *peer.address, peer.state.name.lower())
                     if peer.state is State.ALIVE:
