A bridge, seeds that are gone and one that never comes, with five processes

Need: three of the hard cases of links were shown by the model alone.

Change: two more scenarios in tests/program/test_fleet.py, and a seed that never comes in all of them.

--- a/tests/program/test_fleet.py
+++ b/tests/program/test_fleet.py
@@ -40,9 +40,10 @@
             self.hosts.append((await world.host(deliver), await world.host(deliver)))
             world.name_ = f"r{n}"
             world.control = f"127.0.0.1:{free_port()}"
-            (folder / "fleet.toml").write_text(
+            (folder / "fleet.toml").write_text(  # the first seed never comes
                 f'[fleet]\nlisten = "{listens[n]}"\nadvertise = "{places[n]}"\n'
-                f'seeds = ["{places[0]}", "{places[1]}"]\nbeat_ms = {BEAT}\nsuspect_ms = {SUSPECT}\n'
+                f'seeds = ["127.0.0.1:9", "{places[0]}", "{places[1]}"]\n'
+                f'beat_ms = {BEAT}\nsuspect_ms = {SUSPECT}\n'
             )
             world.arguments = ["--fleet", str(folder / "fleet.toml")]
             await world.start()
@@ -183,6 +184,35 @@
     play(scenario, tmp_path)
 
 
+def test_a_bridge_is_enough_for_all_to_know_each_other(tmp_path: Path) -> None:
+    """Two halves that hear each other only by way of r2: nobody stays out, and calls cross."""
+
+    async def scenario(fleet: Fleet) -> None:
+        for here in (0, 1):
+            for there in (3, 4):
+                fleet.proxy.cut(f"r{here}", f"r{there}")
+        await fleet.say(0, "disable-server h0")
+        await fleet.until("ejected", 1, ALL)
+        await fleet.until("fleet_alive", RELAYS - 1, ALL)
+        assert sum(fleet.proxy.dropped.values()) > 0
+
+    play(scenario, tmp_path)
+
+
+def test_with_all_seeds_gone_one_that_starts_again_is_found(tmp_path: Path) -> None:
+    async def scenario(fleet: Fleet) -> None:
+        left = [2, 3, 4]
+        for n in (0, 1):
+            await fleet.worlds[n].kill()
+        await fleet.until("fleet_alive", 2, left)
+        await fleet.say(2, "disable-server h1")
+        await fleet.worlds[4].restart()
+        await fleet.until("fleet_alive", 2, left)
+        await fleet.until("ejected", 1, left)
+
+    play(scenario, tmp_path)
+
+
 def test_a_relay_is_replaced_by_its_next_process(tmp_path: Path) -> None:
     """The one that takes over has the socket once the one before has ended, and knows what that knew."""
 
