A call of another relay's operator that can't hold yet is tried again

Cause: a call that came while this relay stood still for a handover that was then given up, or while its folder took nothing, was known and told on, but never made to hold here: joining._settle looked at new calls alone.

Change: after such a refusal all known calls are looked at again each second until they hold.

--- a/loftrelay/joining.py
+++ b/loftrelay/joining.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 NAME, MOST = "fleet-calls.json", 64_000  # bytes
+HOLD_AGAIN = 1.0  # seconds between tries to make a call from elsewhere hold here
 AGAIN = 0.1  # seconds between tries for a socket that the process before still has
 COUNTS = (
     "sent", "sent_bytes", "received", "unreadable", "of_another_version", "of_another_fleet", "not_sent",
@@ -39,6 +40,7 @@
         self.path = folder / NAME
         self.calls = Calls(name, secrets.randbits(32))
         self.node = Node(told, name, self.calls, self._heard)
+        self.retry: asyncio.TimerHandle | None = None
 
     async def start(self, wait: bool) -> None:
         """`wait`: for the process before this one to give its socket up. Raises OSError."""
@@ -59,6 +61,8 @@
     def close(self) -> None:
         if self in self.engine.watchers:
             self.engine.watchers.remove(self)
+        if self.retry is not None:
+            self.retry.cancel()
         self.node.close()
 
     def figure_lines(self) -> list[str]:
@@ -99,13 +103,18 @@
         self.node.tell_now()
 
     def _settle(self, calls: list[Call]) -> None:
+        """Makes them hold; one that can't yet (a handover, a folder that takes nothing) is tried anew."""
         for call in calls:
             if (call.host in self.engine.out) == call.out:
                 continue
             if (why := self.change(call.host, call.out)) is not None:
-                log.error(
-                    "what was said of host %s at %s does not hold here: %s", call.host, call.origin, why
-                )
+                log.error("a call of %s for host %s does not hold yet: %s", call.origin, call.host, why)
+                if self.retry is None:
+                    self.retry = asyncio.get_running_loop().call_later(HOLD_AGAIN, self._settle_all)
+
+    def _settle_all(self) -> None:
+        self.retry = None
+        self._settle(list(self.calls.known.values()))
 
     # Over restarts
 
--- /dev/null
+++ b/tests/fleet/test_joining.py
@@ -0,0 +1,63 @@
+"""What another relay's operator said holds here as soon as it can, and is known to the next start."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from loftrelay import joining
+from loftrelay.fleet.membership import Timing
+from loftrelay.fleet.settings import FleetSettings
+from loftrelay.fleet.verdicts import Call
+
+TOLD = FleetSettings("f", ("127.0.0.1", 0), None, (), Timing(200_000, 1_000_000))
+
+
+class Stands:
+    """In an engine's place."""
+
+    def __init__(self) -> None:
+        self.out: set[str] = set()
+        self.watchers: list[Any] = []
+        self.refusals = 2
+
+    def change(self, host: str, out: bool) -> str | None:
+        if self.refusals:
+            self.refusals -= 1
+            return "another process of this relay is about to decide"
+        (self.out.add if out else self.out.discard)(host)
+        for watcher in self.watchers:
+            (watcher.taken_out if out else watcher.brought_back)(host)
+        return None
+
+
+def test_a_call_that_can_not_hold_yet_holds_later_and_after_a_restart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(joining, "HOLD_AGAIN", 0.001)
+
+    async def main() -> None:
+        engine = Stands()
+        joined = joining.Joined(TOLD, "a", tmp_path, cast(Any, engine), engine.change)
+        await joined.start(wait=False)
+        call = Call("h", True, 7, "b")
+        joined._heard(joined.calls.heard([call]))
+        assert not engine.out
+        async with asyncio.timeout(10):
+            while not engine.out:
+                await asyncio.sleep(0.001)
+        assert joined.calls.known == {"h": call}  # it is still the other relay's
+        joined.close()
+        engine = Stands()
+        engine.refusals = 0
+        later = joining.Joined(TOLD, "a", tmp_path, cast(Any, engine), engine.change)
+        await later.start(wait=False)
+        assert engine.out == {"h"} and later.calls.known == {"h": call}
+        later.close()
+        (tmp_path / joining.NAME).write_text('[["h", true, -1, "b"]]')
+        assert later._load() == []
+
+    asyncio.run(main())
