Names too long for a datagram stop neither the fleet nor a relay unnoticed

Cause: read once more: a relay's name that does not fit raised in the timer's callback, and its membership stood still without a word; a host's id over 200 characters had the others refuse the whole datagram. Seen: the test of a relay that hears nobody failed once in some ten plays; its message was not kept, and four plays later all passed. Cause not known.

Change: such a name ends the start with one line, such a call stays at its relay. Ports of tests are free for datagrams, too.

--- a/loftrelay/fleet/node.py
+++ b/loftrelay/fleet/node.py
@@ -10,7 +10,7 @@
 from typing import Any, cast
 
 from loftrelay.fleet.membership import Action, Changed, Contested, Membership, Peer, State, Tell
-from loftrelay.fleet.settings import FleetSettings
+from loftrelay.fleet.settings import MOST_NAME, FleetSettings
 from loftrelay.fleet.verdicts import Call, Calls
 from loftrelay.fleet.wire import VersionError, WireError, decode, encode
 from loftrelay.net.address import Address
@@ -36,6 +36,8 @@
 
     async def open(self, start_ms: int) -> Address:
         """`start_ms`: Unix time. Gives the address in use. Raises OSError."""
+        if len(self.name.encode()) > MOST_NAME:
+            raise OSError(f"in a fleet a relay's name has {MOST_NAME} bytes at most: {self.name!r}")
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self.told.listen)
         self.transport = transport
--- a/loftrelay/fleet/wire.py
+++ b/loftrelay/fleet/wire.py
@@ -85,6 +85,8 @@
     if room < 0:
         raise WireError("the names in it are too long")
     for call in calls:
+        if len(call.host) > LONGEST:
+            continue  # with it, others would refuse the whole datagram
         row = CallRow(call.host, call.out, call.stamp, call.origin)
         room -= len(_encoder.encode(row))
         if room < 0:
--- a/tests/fleet/test_calls.py
+++ b/tests/fleet/test_calls.py
@@ -127,6 +127,7 @@
     assert later == decode(data) == ("f", probe, [Call("h", True, 3, "a")])
     with pytest.raises(VersionError):
         decode(data[:2] + b"\x02" + data[3:])
+    assert decode(encode("f", probe, [Call("h" * 300, True, 3, "a"), Call("h", True, 3, "a")])) == later
     with pytest.raises(WireError):
         encode("f", Probe(4, "b" * 200, Peer("a" * 200, ("h" * 900, 7), 1, 2)), [])
 
--- a/tests/program/test_fleet.py
+++ b/tests/program/test_fleet.py
@@ -21,6 +21,7 @@
 
 class Fleet(Processes):
     """Relays r0 to r4, each with hosts h0 and h1 of destination 1."""
+
     async def shows(self, name: str, value: int, relays: list[int]) -> None:
         assert await self.until(name, value, [self.worlds[n] for n in relays]) < HANG
 
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -376,9 +376,11 @@
 def free_port() -> int:
     """Below those that the system gives to connections: one of another test would take it meanwhile."""
     while True:
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", 10_000 + secrets.randbelow(22_000)))
-            return int(probe.getsockname()[1])
+        place = ("127.0.0.1", 10_000 + secrets.randbelow(22_000))
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp, contextlib.suppress(OSError):
+            tcp.bind(place)
+            udp.bind(place)
+            return place[1]
 
 
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
