--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -377,7 +377,8 @@
     """Below those that the system gives to connections: one of another test would take it meanwhile."""
     while True:
         place = ("127.0.0.1", 10_000 + secrets.randbelow(22_000))
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp, contextlib.suppress(OSError):
+        datagrams = socket.socket(type=socket.SOCK_DGRAM)
+        with socket.socket() as tcp, datagrams as udp, contextlib.suppress(OSError):
             tcp.bind(place)
             udp.bind(place)
             return place[1]
