A wait binds from its answer's head on, and calls that wait for a connection come back

At fault: Hosts._endings and _ask, which looked for nothing but a stall before the first byte.

Messages that told waits outlast are answered at once.

--- a/loftrelay/app.py
+++ b/loftrelay/app.py
@@ -34,7 +34,7 @@
     delivery = Hosts(
         config.settings.connect_timeout, config.settings.idle_limit, config.most_to_hosts,
         connections, config.seed, journal.tried, engine.ended, engine.doubted, engine.figures.forwarded,
-        engine.pulse,
+        engine.pulse, engine.told, engine.bound,
     )  # fmt: skip
     where = config.discovery if handed is None else handed.discovery
     discovery = Discovery(where, config.settings.ask_every, engine.listed)
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -50,6 +50,7 @@
 # Passes of the loop after a stall before anything is decided: all that came meanwhile is read in the first,
 # who waits for it runs in the second, and has told the engine by the third.
 SETTLING = 4
+LONG_WAIT = 60_000_000  # microseconds; one told that is longer is worth a line in the log
 NEWS_OLD = 1.0  # seconds of a stall after which discovery is asked anew: a drain binds after 2
 REFUSED_HERE_MS = 1_000  # when to come back after a refusal for want of room
 
@@ -508,6 +509,22 @@
         self.bundles.pop(host, None)
         self.entries.pop(host, None)
 
+    def told(self, host: str, wait: int) -> None:
+        """An answer of a host tells to wait (microseconds from now). It binds from here on, before the next
+        turn and whatever becomes of the answer's rest and of its call: what was decided for whom it binds and
+        is not written whole comes back."""
+        if self.away is not None:
+            self.away.told(host, wait)
+            return
+        if wait >= LONG_WAIT:
+            log.warning("%s tells to wait for %.0f s; a restart ends that", host, wait / 1e6)
+        self.brain.bind(self._clock(), host, wait)
+        self.delivery.hold()
+
+    def bound(self, host: str) -> bool:
+        """Whether a told wait forbids a call to a host now."""
+        return self.brain.bound(self._clock(), host)
+
     def ended(self, held: Held, host: str, ending: Ending) -> None:
         """An attempt's outcome."""
         if self.away is not None:
@@ -516,8 +533,10 @@
         now = self._clock()
         sent_at = self.lives.back(held.id)
         attempt = held.attempts - 1
-        if ending.stale:
-            log.info("%s was not sent: the process stood still since that was decided", held.id)
+        unsent = ending.stale or ending.held
+        if unsent:
+            why = "its host told to wait" if ending.held else "the process stood still"
+            log.info("%s was not sent: %s since that was decided", held.id, why)
             held.attempts -= 1  # it costs no try
         if ending.over:
             self._close(held)
@@ -533,7 +552,7 @@
         self._post(
             api.Outcome(
                 held.id, attempt, host, ending.result, elapsed, ending.over, ending.wait,
-                None, None, ending.idle, ending.expired, int(ending.stale), ending.late,
+                None, None, ending.idle, ending.expired, int(unsent), ending.late,
             )
         )  # fmt: skip
 
--- a/loftrelay/core/handover.py
+++ b/loftrelay/core/handover.py
@@ -73,15 +73,16 @@
 
 
 def tell_ending(ending: Ending) -> list[Any]:
-    return [ending.result.name, ending.over, ending.expired, ending.wait, ending.idle]
+    row = [ending.result.name, ending.over, ending.expired, ending.wait, ending.idle]
+    return [*row, True] if ending.held else row  # only then: earlier programs read five
 
 
 def read_ending(told: list[Any]) -> Ending:
     """Raises HandoverError."""
     try:
-        result, over, expired, wait, idle = told
-        return Ending(
-            api.Result[result], bool(over), bool(expired), int(wait), None if idle is None else int(idle)
-        )
+        result, over, expired, wait, idle, *more = told
+        idle = None if idle is None else int(idle)
+        held = bool(more and more[0])
+        return Ending(api.Result[result], bool(over), bool(expired), int(wait), idle, held=held)
     except (KeyError, TypeError, ValueError) as error:
         raise HandoverError(f"an outcome can't be read: {error!r}") from error
--- a/loftrelay/core/ports.py
+++ b/loftrelay/core/ports.py
@@ -25,6 +25,7 @@
     wait: int = 0  # told wait, microseconds
     idle: int | None = None  # how long its connection had stood idle, microseconds; 0: a new one
     stale: bool = False  # not begun: the process stood still since it was decided
+    held: bool = False  # not begun, or not whole when taken back: its host told to wait since it was decided
     late: bool = False  # the process stood still while it was out: when it came is not known
 
 
@@ -108,6 +109,10 @@
     def forget(self, host: str) -> None: ...
     def close_idle(self, host: str) -> None: ...
     def close_all_idle(self) -> None: ...
+    def hold(self) -> None:
+        """A wait was told: calls to hosts that Engine.bound names now are taken back, each message by one
+        Engine.ended, as long as their last byte is not written."""
+
     def send(self, host: str, messages: list[Held], terms: Terms) -> None: ...
     def recall(self) -> list[tuple[Held, str]]:
         """Takes back the calls of which not a byte was written: the messages, and where they were to go."""
@@ -143,5 +148,6 @@
 class Away(Protocol):
     """Hears what becomes known of calls while another process decides, or is about to."""
 
+    def told(self, host: str, wait: int) -> None: ...
     def ended(self, message: str, host: str, ending: Ending) -> None: ...
     def doubted(self, message: str, host: str, ran_at: int) -> None: ...
--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -18,15 +18,16 @@
 from loftrelay.core.pulse import Pulse
 from loftrelay.core.steps import reached
 from loftrelay.delivery import pools
-from loftrelay.delivery.outcomes import read_batch, read_single, tells_of_others
+from loftrelay.delivery.outcomes import read_batch, read_single, tells_of_others, told_wait
 from loftrelay.net.address import Address
-from loftrelay.net.http import Answer, AnswerSpoilt, Connection, ConnectionBroken, Unasked, Unusable
+from loftrelay.net.http import Answer, AnswerSpoilt, Connection, ConnectionBroken, Headers, Unasked, Unusable
 from mulleinlead.interface import Result
 
 log = logging.getLogger(__name__)
 
 NO_IDLE, NO_CONNECT = 10_000_000, 1.0  # when the settings tell neither (microseconds, seconds)
 BEGIN_MARGIN = 0.5  # seconds beyond a connect in which a call has begun, or does not: drains allow 2 s in all
+LOOKS = 3  # passes of the loop in which all that has come is read
 STALL = 0.3  # seconds from an answer's first byte to its last
 IDLE_MARGIN = 500_000  # before the host closes a connection that stands idle, it is not used any more
 TELLING = 0.6  # seconds without an answer that tell something of the connection
@@ -39,6 +40,10 @@
     """The process stood still since the call was decided, and not a byte of it is written."""
 
 
+class Bound(Exception):
+    """Its host told to wait since the call was decided, and the host has not had the whole of it."""
+
+
 class Denied(Exception):
     """No connection carries the call."""
 
@@ -59,6 +64,8 @@
     asked: bool = False
     idle: int | None = None
     granted: asyncio.Future[pools.Use] | None = None
+    line: Line | None = None  # that carries it, from its first byte on
+    wait: int = 0  # told in the head of its answer, microseconds
 
 
 @dataclass(slots=True)
@@ -96,11 +103,15 @@
         doubted: Callable[[str, str, int], None],
         forwarded: Callable[[int], None] = lambda messages: None,
         pulse: Pulse | None = None,
+        told: Callable[[str, int], None] = lambda host, wait: None,
+        bound: Callable[[str], bool] = lambda host: False,
     ) -> None:
-        told = (idle_limit or NO_IDLE) - IDLE_MARGIN
+        """`told` is told of a wait (microseconds) as soon as the head of an answer that tells it is read;
+        `bound` says whether one binds a host now."""
+        most_idle = (idle_limit or NO_IDLE) - IDLE_MARGIN
         limits = replace(
             limits,
-            idle_limit=min(limits.idle_limit or told, told),
+            idle_limit=min(limits.idle_limit or most_idle, most_idle),
             most_in_all=min(limits.most_in_all or most_connections, most_connections),
         )
         self.pools = pools.Pools(limits, seed)
@@ -110,6 +121,8 @@
         self.doubted = doubted
         self.forwarded = forwarded
         self.pulse = pulse or Pulse()
+        self.told = told
+        self.bound = bound
         self.addresses: dict[str, Address] = {}
         self.lines: dict[int, Line] = {}
         self.opening: dict[int, asyncio.Task[None]] = {}
@@ -154,6 +167,15 @@
             task.cancel()  # it ends with no outcome
         return [(message, call.host) for _, call in back for message in call.messages]
 
+    def hold(self) -> None:
+        """A wait was told: calls that it binds go back, as long as their hosts have not the whole of them."""
+        for call in self.waiting.values():
+            if call.granted is not None and not call.granted.done() and self.bound(call.host):
+                call.granted.set_exception(Bound())
+        for call in self.calls.values():
+            if call.line is not None and self.bound(call.host):
+                call.line.connection.take_back(Bound())
+
     def close_all_idle(self) -> None:
         """Nothing more will be sent: what stands idle goes."""
         for number, line in list(self.lines.items()):
@@ -183,7 +205,9 @@
         self.pulse.look(asyncio.get_running_loop().time())
         late = self.pulse.since(call.at)
         for message in call.messages:
-            self.ended(message, call.host, replace(endings[message.id], idle=call.idle, late=late))
+            ending = endings[message.id]
+            wait = max(ending.wait, call.wait)
+            self.ended(message, call.host, replace(ending, wait=wait, idle=call.idle, late=late))
 
     async def _endings(self, call: Call) -> dict[str, Ending]:
         """One ending for each message, by its id."""
@@ -194,13 +218,14 @@
         try:
             while True:
                 # What was decided holds for a moment only: a drain or a wait may be told meanwhile.
+                self._holds(call, deadline)
                 async with asyncio.timeout_at(min(begin_by, deadline)):
                     number = await self._connection(call)
                 try:
                     answer = await self._ask(call, number, deadline)
                     break
                 except Unusable:
-                    call.asked = False
+                    call.asked, call.line = False, None
                     await self._find_why(number)
                     if call.idle == 0:
                         raise Denied(pools.Denied.NO_CONNECTION) from None
@@ -208,6 +233,13 @@
         except JournalFull:
             self._do(self.pools.unused(number, self._now()))
             return dict.fromkeys(ids, Ending(Result.NOT_SENT))
+        except Bound:
+            if call.line is not None:  # a part of it is written
+                self._forget(number)
+                self._do(self.pools.broken(number, False, self._now()))
+            else:
+                self._do(self.pools.unused(number, self._now()))
+            return dict.fromkeys(ids, Ending(Result.NOT_SENT, held=True))
         except Stale:
             self._do(self.pools.unused(number, self._now()))
             return dict.fromkeys(ids, Ending(Result.NOT_SENT, stale=True))
@@ -270,15 +302,16 @@
 
     async def _ask(self, call: Call, number: int, deadline: float) -> Answer:
         line, loop = self.lines[number], asyncio.get_running_loop()
+        if self.pulse.age(loop.time()):
+            for _ in range(LOOKS):  # a loop that is late reads what has come first
+                await asyncio.sleep(0)
+        self._holds(call, deadline)
         for message in call.messages:
             self.tried(message, call.host)
         reached("journal try")
-        # The last step before the first byte. What was decided before a stall holds no more: a drain, a wait
-        # or the end of a message's time may have come meanwhile.
-        self.pulse.look(loop.time())
-        if self.pulse.since(call.at) or loop.time() >= deadline:
-            raise Stale
+        self._holds(call, deadline)  # the last step before the first byte: writing that may have taken long
         call.asked = line.asked = True
+        call.line = line
         answer = await self._request(line.connection, call, deadline)
         reached("heard")
         took = line.connection.heard_at - line.connection.written_at
@@ -297,6 +330,22 @@
                 raise AnswerSpoilt
         return answer
 
+    def _holds(self, call: Call, deadline: float) -> None:
+        """Raises Stale or Bound where what was decided holds no more: a drain, a wait or the end of a
+        message's time may have come meanwhile, and after a stall nobody knows."""
+        now = asyncio.get_running_loop().time()
+        self.pulse.look(now)
+        if self.pulse.since(call.at) or now >= deadline:
+            raise Stale
+        if self.bound(call.host):
+            raise Bound
+
+    def _head(self, call: Call, headers: Headers) -> None:
+        """What an answer's head says binds, whatever comes of the rest."""
+        if wait := told_wait(headers):
+            call.wait = wait
+            self.told(call.host, wait)
+
     async def _request(self, connection: Connection, call: Call, deadline: float) -> Answer:
         messages, timeout = call.messages, deadline - asyncio.get_running_loop().time()
         headers = {"Host": "host", "Request-Timeout-Ms": str(max(1, int(timeout * 1000)))}
@@ -312,16 +361,16 @@
             body, path = json.dumps(rows, separators=(",", ":")).encode(), "/v1/messages:batch"
         headers["Content-Length"] = str(len(body))
         whole = partial(self.forwarded, len(messages))
-        return await connection.request("POST", path, headers, body, STALL, whole, deadline)
+        head = partial(self._head, call)
+        return await connection.request("POST", path, headers, body, STALL, whole, deadline, head)
 
     def _answered(self, call: Call, number: int, answer: Answer, ids: list[str]) -> dict[str, Ending]:
         """The answer is whole."""
         endings = read_batch(answer, ids) if call.terms.batch else {ids[0]: read_single(answer)}
         results = {ending.result for ending in endings.values()}
         well = results == {Result.OK}
-        wait = max(ending.wait for ending in endings.values())
         now = self._now()
-        self.pools.fared(call.host, well, wait, now)
+        self.pools.fared(call.host, well, call.wait, now)
         line = self.lines[number]
         line.asked, connection = False, line.connection
         if not self.pools.first_use(number):
@@ -348,7 +397,7 @@
         now = self._now()
         line = self.lines[number]
         line.asked, connection = False, line.connection
-        self.pools.fared(call.host, False, 0, now)
+        self.pools.fared(call.host, False, call.wait, now)
         if connection.surplus is not None:
             self._gone(number, connection.surplus)
         else:
--- a/loftrelay/delivery/outcomes.py
+++ b/loftrelay/delivery/outcomes.py
@@ -4,14 +4,18 @@
 
 import json
 import logging
+import re
 from collections.abc import Sequence
 
 from loftrelay.core.ports import Ending
-from loftrelay.net.http import Answer
+from loftrelay.net.http import Answer, Headers
 from mulleinlead.interface import Result
 
 log = logging.getLogger(__name__)
 
+WAIT = re.compile(rb"0*(\d+)(\.?\d*)")  # milliseconds; a part of one counts whole
+MOST_WAIT = 999_999_999
+
 STATUSES = {
     200: Result.OK, 500: Result.ERROR, 429: Result.FULL, 503: Result.FULL, 504: Result.NOT_SENT,
     410: Result.NOT_SENT, 400: Result.FULL, 413: Result.FULL,
@@ -22,9 +26,15 @@
 }  # fmt: skip
 
 
-def told_wait(answer: Answer) -> int:
-    text = answer.headers.get(b"x-come-back-ms", b"")
-    return int(text) * 1000 if text.isdigit() and len(text) < 10 else 0
+def told_wait(headers: Headers) -> int:
+    """In microseconds; 0 where none is told, or nothing that is a number. Of several the longest binds, and
+    one too long to be meant counts as eleven days."""
+    longest = 0
+    for name, value in headers:
+        if name == b"x-come-back-ms" and (told := WAIT.fullmatch(value)) is not None:
+            whole, part = told.groups()
+            longest = max(longest, MOST_WAIT if len(whole) > 9 else int(whole) + bool(part.strip(b".0")))
+    return longest * 1000
 
 
 def read_single(answer: Answer) -> Ending:
@@ -35,7 +45,8 @@
     result = STATUSES.get(answer.status, Result.ERROR)
     if answer.status == 503 and answer.headers.get(b"x-line-busy") == b"1":
         result = Result.NOT_SENT
-    return Ending(result, over=answer.status == 200, wait=told_wait(answer), expired=answer.status == 410)
+    wait = told_wait(answer.headers.items())
+    return Ending(result, over=answer.status == 200, wait=wait, expired=answer.status == 410)
 
 
 def tells_of_others(answer: Answer, ids: Sequence[str]) -> bool:
@@ -54,7 +65,7 @@
         rows = [(entry["id"], entry["state"]) for entry in json.loads(answer.body)]
         if sorted(name for name, _ in rows) != sorted(ids):
             raise ValueError("it tells of other messages than were asked for")
-        wait = told_wait(answer)
+        wait = told_wait(answer.headers.items())
         states = {
             name: Ending(STATES[s], over=s == "delivered", wait=wait, expired=s == "over") for name, s in rows
         }
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -7,7 +7,7 @@
 import re
 import select
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
 
@@ -18,6 +18,7 @@
 LOOKS = 3  # passes of the loop in which what has come unread is read: a stall may have held it up
 MOST_BODY = 1 << 20  # a whole list of hosts fits; an answer without end does not
 START = b"HTTP/1."
+Headers = Iterable[tuple[bytes, bytes]]  # as they came, names in lower case
 DELIVERED = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
 
 
@@ -85,6 +86,7 @@
             None  # told once of what comes while nothing is asked
         )
         self.whole: Callable[[], None] | None = None  # told once the request that is out is written whole
+        self.heard: Callable[[Headers], None] | None = None  # told once the head of its answer has come
         self._head = bytearray()
         self._response: h11.Response | None = None
         self._body = bytearray()
@@ -147,11 +149,13 @@
         stall: float | None = None,
         whole: Callable[[], None] | None = None,
         until: float | None = None,
+        heard: Callable[[Headers], None] | None = None,
     ) -> Answer:
         """Raises Unusable if it is found to be of no use before a byte is written; ConnectionBroken if no
         whole answer comes, also when one that has begun is not whole after `stall` seconds; TimeoutError if
         none has come by `until` (the loop's seconds), read or not. Calls `whole` once the system has the
-        request's last byte.
+        request's last byte, and `heard` with the headers of its answer once they are there, whatever comes of
+        its rest.
         If this is cancelled, the connection must be closed."""
         assert self.transport is not None
         if not self.usable():
@@ -162,7 +166,7 @@
         data = b"".join(self.wire.send(event) or b"" for event in (head, h11.Data(body), h11.EndOfMessage()))
         self.written, self.heard_at = True, 0.0  # unless pause_writing says otherwise at once
         self.written_at = asyncio.get_running_loop().time()
-        self.whole = whole
+        self.whole, self.heard = whole, heard
         self.transport.write(data)
         if self.written and not self.transport.is_closing():
             self._tell_whole()
@@ -202,6 +206,15 @@
         if told is not None:
             told(what)
 
+    def take_back(self, why: Exception) -> bool:
+        """Ends the request that is out with `why`, unless its last byte is written already: the peer can't
+        have begun it, and never has it whole."""
+        if self.written or self.answer is None or self.answer.done():
+            return False
+        self.close()
+        self.answer.set_exception(why)
+        return True
+
     def close(self) -> None:
         self._stop_clock()
         if self.transport is not None:
@@ -267,6 +280,8 @@
                     self._stop_clock()  # the answer itself may take its time
             elif isinstance(event, h11.Response):
                 self._response = event
+                if self.heard is not None:
+                    self.heard(event.headers)
                 if int(dict(event.headers).get(b"content-length", b"0")) > MOST_BODY:
                     raise h11.RemoteProtocolError("the answer is too long")
             elif isinstance(event, h11.Data):
--- a/loftrelay/upgrade/predecessor.py
+++ b/loftrelay/upgrade/predecessor.py
@@ -83,6 +83,9 @@
     def ended(self, message: str, host: str, ending: Ending) -> None:
         self._tell({"is": "ended", "id": message, "host": host, "how": tell_ending(ending)})
 
+    def told(self, host: str, wait: int) -> None:
+        self._tell({"is": "told", "host": host, "wait": wait})
+
     def doubted(self, message: str, host: str, ran_at: int) -> None:
         self._tell({"is": "doubted", "id": message, "host": host, "at": ran_at})
 
@@ -177,8 +180,10 @@
         self.moved(False)
         late, self.late = self.late, []
         for message in late:
-            if message["is"] == "ended" and (held := self.engine.journal.held.get(message["id"])):
-                self.engine.ended(held, message["host"], read_ending(message["how"]))
+            if message["is"] == "ended":
+                self.engine.heard_abroad(message["id"], message["host"], read_ending(message["how"]))
+            elif message["is"] == "told":
+                self.engine.told(message["host"], message["wait"])
             elif message["is"] == "doubted":
                 self.engine.doubted(message["id"], message["host"], message["at"])
         changes, self.changes = self.changes, {}
--- a/loftrelay/upgrade/successor.py
+++ b/loftrelay/upgrade/successor.py
@@ -104,6 +104,8 @@
         try:
             if kind == "ended" and self.handed is not None:
                 self.engine.heard_abroad(message["id"], message["host"], read_ending(message["how"]))
+            elif kind == "told":
+                self.engine.told(message["host"], int(message["wait"]))
             elif kind == "doubted" and self.handed is not None:
                 self.engine.doubted(message["id"], message["host"], int(message["at"]))
             elif kind == "client" and files:
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -220,6 +220,7 @@
         self.backlog: dict[int, Destination] = {}  # destinations with waiting messages
         self.wear: dict[int, tuple[Rate, Rate]] = {}  # octave of idle time -> calls, and those reset
         self.calls_out = 0
+        self.told_of: dict[int, Destination] = {}  # whose waits may outlast a message's time: to be looked at
         self.out: set[str] = set()  # endpoints that the operator leaves out
         self.alarms: list[tuple[int, int, Message | Key | None]] = []
         self.alarm_number = 0
@@ -251,6 +252,7 @@
             self.ask_at = NEVER
             self.actions.append(api.WatchList())
         self._ring_alarms()
+        self._end_told_out()
         self._make_room()
         self._dispatch()
         due = min(self.wake, self.ask_at, self.alarms[0][0] if self.alarms else NEVER)
@@ -397,6 +399,7 @@
 
     def _hold(self, message: Message) -> None:
         message.destination.waiting[message.name] = message
+        self.told_of[message.destination.number] = message.destination
         self.backlog[message.destination.number] = message.destination
         self._alarm(min(self._last_send(message), self._window_end(message)), message)
 
@@ -465,6 +468,19 @@
         about, harmless = message.about, message.ran_at is None or message.about.effect is Effect.SAFE
         return message.call is None and (harmless or (about.effect is Effect.KEYED and about.scope == "all"))
 
+    def _end_told_out(self) -> None:
+        """Messages whose time covers no call any more once the waits are over that all their endpoints told:
+        what is given up is answered at once."""
+        for destination in self.told_of.values():
+            opens = min((e.gate.told_until for e in destination.endpoints if e.serves), default=0)
+            if opens > self.now:
+                advice = min(opens - self.now, self.told.max_advice or 0) if self.told.can_advise else 0
+                for message in list(destination.waiting.values()):
+                    if opens >= min(self._last_send(message), self._window_end(message)):
+                        harmless, name = self._may_refuse(message), message.name
+                        self._finish(message, api.Refuse(name, advice) if harmless else api.Fail(name))
+        self.told_of.clear()
+
     def _make_room(self) -> None:
         """Trouble: backlogs behind shut gates fill the relay and turn clients away: the cheapest go."""
         if (excess := len(self.messages) - self.max_held + max(2, self.max_held // SPARE_ROOM)) <= 0:
@@ -724,6 +740,8 @@
     def _outcome(self, event: api.Outcome) -> None:
         message = self.messages.get(event.message)
         call = message.call if message is not None else None
+        # Rule 'waits', whatever became of the message. Each of a bundle tells it anew, maybe a tick later.
+        self._bind(call.endpoint if call is not None else self.endpoints.get(event.endpoint), event.wait)
         if message is None or call is None:
             return
         message.call = None
@@ -734,11 +752,10 @@
                 counter.in_flight -= 1
             for key in call.keys:
                 self._rest(key)
-        if event.wait > 0:
-            # Rule 'waits'. Each message of a bundle tells it anew, and the last may come a tick later.
-            call.endpoint.gate.told_until = max(call.endpoint.gate.told_until, self.now + event.wait)
-        # The members of a bundle run out of time one by one: while others wait on, its fate is not known.
-        if not call.learned and (call.members == 0 or event.result is not Result.TIMEOUT):
+        # The members of a bundle run out of time one by one: while others wait on, its fate is not known. A
+        # call that was not begun tells nothing.
+        known = call.members == 0 or event.result is not Result.TIMEOUT
+        if known and not event.postponed and not call.learned:
             call.learned = True
             self._learn(call, event)
         if event.result in DOUBTFUL:
@@ -757,6 +774,21 @@
         else:
             self._retry_later(message, event)
 
+    def bind(self, now: int, name: str, wait: int) -> None:
+        """An endpoint tells to wait so long: to be called as soon as that is heard, also between batches."""
+        self.now = max(self.now, now)
+        self._bind(self.endpoints.get(name), wait)
+
+    def bound(self, now: int, name: str) -> bool:
+        """Whether a told wait forbids calls to an endpoint: to be asked before the first byte of each."""
+        endpoint = self.endpoints.get(name)
+        return endpoint is not None and endpoint.gate.told_until > now
+
+    def _bind(self, endpoint: Endpoint | None, wait: int) -> None:
+        if endpoint is not None and wait > 0:
+            endpoint.gate.told_until = max(endpoint.gate.told_until, self.now + wait)
+            self.told_of[endpoint.destination.number] = endpoint.destination
+
     def _doubt(self, event: api.Doubted) -> None:
         """Rule 'no effect twice': the refusal it was to go again after is no proof any more."""
         message = self.messages.get(event.message)
--- a/tests/core/test_counts.py
+++ b/tests/core/test_counts.py
@@ -131,6 +131,9 @@
 
         doubted = ended
 
+        def told(self, host: str, wait: int) -> None:
+            raise AssertionError("nothing is told while both stand still")
+
     async def main() -> None:
         first, journal = build(config(tmp_path))
         steps = Steps(first, seed)
@@ -185,6 +188,9 @@
             def doubted(self, message: str, host: str, ran_at: int) -> None:
                 heard.append(message)
 
+            def told(self, host: str, wait: int) -> None:
+                heard.append(host)
+
         engine.freeze(Away())
         before = engine.figure_lines()
         held, host = steps.out.pop()
