--- a/tests/program/test_upgrade.py
+++ b/tests/program/test_upgrade.py
@@ -216,7 +216,7 @@
         while "app.ejected" not in await w.call("show-stat"):
             pass
         await w.upgrade()
-        assert await w.hand_in("m3", Request_Timeout_Ms="1500") == 503  # at once: its time ends within the wait
+        assert await w.hand_in("m3", Request_Timeout_Ms="1500") == 503  # at once: the wait outlasts it
         assert second.ids == ["m1", "m2"]
 
     play(scenario, tmp_path)
