--- a/tests/delivery/sender.py
+++ b/tests/delivery/sender.py
@@ -19,10 +19,13 @@
         self.ended: dict[str, asyncio.Future[Ending]] = {}
         self.doubted: list[str] = []
         self.tried: list[str] = []
+        self.waits: dict[str, float] = {}  # host -> until when (the loop's seconds)
+        self.shared = True  # the routes of the one destination: a wait binds all its hosts
+        self.told = asyncio.Event()
         self.hosts = Hosts(
             200_000, 15_000_000, most, Limits(**limits), 1,
             lambda held, host: self.tried.append(held.id), self._ended,
-            lambda name, host, at: self.doubted.append(name),
+            lambda name, host, at: self.doubted.append(name), told=self.tell, bound=self._bound,
         )  # fmt: skip
         for name, address in places.items():
             self.hosts.place(name, address, 1)
@@ -34,6 +37,16 @@
         self.hosts.close()
         await asyncio.gather(*self.hosts.calls, return_exceptions=True)
 
+    def tell(self, host: str, wait: int) -> None:
+        until = asyncio.get_running_loop().time() + wait / 1e6
+        for name in self.hosts.addresses if self.shared else (host,):
+            self.waits[name] = max(self.waits.get(name, 0.0), until)
+        self.hosts.hold()
+        self.told.set()
+
+    def _bound(self, host: str) -> bool:
+        return self.waits.get(host, 0.0) > asyncio.get_running_loop().time()
+
     def _ended(self, held: Held, host: str, ending: Ending) -> None:
         self.ended[held.id].set_result(ending)
 
