Waits in virtual time: a whole engine between hosts that do whatever a seed says

Need: no first byte inside a wait that was read before, with random connects, waits, lists, leavings and time-outs. Change: a property test in virtual time with thirty seeds, and one that its book finds early calls where nothing asks for waits.

--- /dev/null
+++ b/tests/delivery/test_waits_properties.py
@@ -0,0 +1,294 @@
+"""A whole engine in virtual time, between hosts that do whatever a seed says.
+
+No call's first byte goes to a host inside a wait read before it; nothing is lost, doubled or out of order."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import selectors
+import sys
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from loftrelay.core.engine import Engine
+from loftrelay.core.message import Held
+from loftrelay.core.ports import Ending
+from loftrelay.delivery import hosts as hosts_module
+from loftrelay.delivery.hosts import Hosts
+from loftrelay.delivery.pools import Limits
+from loftrelay.journal.journal import Journal
+from loftrelay.net.address import Address
+from loftrelay.net.http import Answer, AnswerSpoilt, ConnectionBroken, Headers, Unusable
+from mulleinlead import interface as api
+from mulleinlead.adapter import read_settings
+from tests.standins.platform import SETTINGS
+
+HOSTS = {"a": (1, "plain"), "b": (1, "plain"), "c": (2, "apart"), "d": (2, "apart")}  # and its destination
+TOLD = {**SETTINGS, "flavors": ["plain", "apart"], "extra": {
+    "bundle_max": [1, 3], "call_slots": 6, "own_limits": [False, True],
+}}  # fmt: skip
+
+
+class Selector(selectors.SelectSelector):
+    """Nothing is waited for: the time that would pass is told."""
+
+    passed: Callable[[float], None]
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        assert timeout is not None, "nothing would ever happen again"
+        self.passed(max(0.0, timeout))
+        return []
+
+
+class Loop(asyncio.SelectorEventLoop):
+    def __init__(self) -> None:
+        super().__init__(selector := Selector())
+        self.now = 1000.0
+        selector.passed = self._pass
+
+    def _pass(self, seconds: float) -> None:
+        self.now += seconds
+
+    def time(self) -> float:
+        return self.now
+
+
+class Still:
+    """A directory or a board of notices that says nothing by itself."""
+
+    address, revision, open = ("", 0), 1, 0
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.told: list[str] = []
+
+    def add(self, message: str, notice: dict[str, Any]) -> None:
+        self.told.append(message)
+        asyncio.get_running_loop().call_later(0.01, self.engine.noticed, message)
+
+    def __getattr__(self, name: str) -> Callable[..., None]:
+        return lambda *given: None
+
+
+class Day:
+    """One relay, its hosts, and the book of what went to them. `asks`: whether calls ask for waits at all."""
+
+    def __init__(self, folder: Path, seed: int, asks: bool = True) -> None:
+        self.random = random.Random(seed)
+        self.settings = replace(read_settings(TOLD), ends_by_notice=True)
+        self.journal = Journal(folder, 3_000_000)
+        self.engine = engine = Engine(seed, self.settings, self.journal)
+        limits = Limits(rest=self.random.choice([0, 50_000]), most_per_server=self.random.choice([0, 1, 2]))
+        self.hosts = Hosts(
+            600_000, 15_000_000, 100, limits, seed, self.journal.tried, self.ended, engine.doubted,
+            pulse=engine.pulse, told=self.told, bound=engine.bound if asks else lambda host: False,
+        )  # fmt: skip
+        self.board = Still(engine)
+        engine.delivery, engine.discovery, engine.notices = self.hosts, Still(engine), self.board  # type: ignore[assignment]
+        self.waits: dict[str, float] = {}
+        self.early: list[str] = []
+        self.held = 0
+        self.out: set[str] = set()
+        self.ran: set[str] = set()
+        self.faults: list[str] = []
+        self.taken: dict[str, Held] = {}
+        self.keys: dict[str, list[str]] = {}
+        self.place(api.Form.FULL, *HOSTS)
+
+    def place(self, form: api.Form, *names: str, state: api.State = api.State.LISTED) -> None:
+        port = self.random.randrange(1, 1000)
+        rows = [api.Entry(name, HOSTS[name][0], state, None, HOSTS[name][1], None) for name in names]
+        self.engine.listed(api.Listing(form, tuple(rows)), {name: (name, port) for name in names})
+
+    def told(self, host: str, wait: int) -> None:
+        until = asyncio.get_running_loop().time() + wait / 1e6
+        shared = HOSTS[host][1] == "plain"
+        for name in [n for n in HOSTS if shared and HOSTS[n] == HOSTS[host]] or [host]:
+            self.waits[name] = max(self.waits.get(name, 0.0), until)
+        self.engine.told(host, wait)
+
+    def ended(self, held: Held, host: str, ending: Ending) -> None:
+        self.held += ending.held
+        before = held.attempts
+        self.engine.ended(held, host, ending)
+        assert held.attempts == before - (ending.held or ending.stale)
+
+    def first_byte(self, host: str, ids: list[str]) -> None:
+        if asyncio.get_running_loop().time() < self.waits.get(host, 0.0) - 1e-6:
+            self.early += ids
+        for name in ids:
+            held = self.taken[name]
+            if name in self.out:
+                self.faults.append(f"{name}: two copies at once")
+            if held.class_name == "order" and name in self.ran:
+                self.faults.append(f"{name}: an effect twice")
+            line = self.keys[held.key] if held.key is not None else [name]
+            if earlier := [m for m in line[: line.index(name)] if m in self.journal.held]:
+                self.faults.append(f"{name}: sent before {earlier}")
+        self.out.update(ids)
+
+    async def live(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        ends, number = loop.time() + seconds, 0
+        while loop.time() < ends:
+            await asyncio.sleep(self.random.expovariate(12))
+            match self.random.randrange(14):
+                case 0:
+                    name = self.random.choice(list(HOSTS))
+                    state = self.random.choice([api.State.DRAINING, api.State.GONE, api.State.LISTED])
+                    self.place(api.Form.CHANGES, name, state=state)
+                case 1:
+                    self.place(api.Form.CHANGES, *HOSTS)
+                case 2 if self.random.random() < 0.2:
+                    self.engine.retune(self.settings, ("", 0))
+                case _:
+                    number += 1
+                    self.hand_in(f"m{number}")
+        self.place(api.Form.CHANGES, *HOSTS)
+        while self.journal.held:
+            await asyncio.sleep(0.5)
+            assert loop.time() < ends + 60, "lost"
+
+    def hand_in(self, name: str) -> None:
+        now, draw = int(asyncio.get_running_loop().time() * 1e6), self.random
+        of = draw.choice(["status", "order"])
+        key = f"k{draw.randrange(3)}" if of == "order" else None
+        ends = now + draw.randrange(400_000, 9_000_000)
+        held = Held(name, 0, of, "acme", draw.choice([1, 2]), key, now, ends)
+        self.taken[name] = held
+        if key is not None:
+            self.keys.setdefault(key, []).append(name)
+        self.engine.submit(held, lambda status, again: None)
+        if draw.random() < 0.1 and self.engine.awaits(name):
+            self.engine.withdraw(name)
+
+
+class Host:
+    """A connection to one of the hosts: in place of net.http.Connection."""
+
+    day: Day
+
+    def __init__(self, host: str) -> None:
+        self.host = host
+        self.sound = True
+        self.written, self.written_at, self.heard_at = True, 0.0, 0.0
+        self.says_delivered = False
+        self.surplus = self.unasked = None
+        self.taken_back: asyncio.Future[None] | None = None
+
+    @classmethod
+    async def open(cls, address: Address, timeout: float) -> Host:
+        draw = cls.day.random
+        delay = draw.choice([0.0, 0.01, draw.uniform(0, 0.7)])
+        await asyncio.sleep(min(delay, timeout))
+        if delay >= timeout:
+            raise TimeoutError
+        if draw.random() < 0.05:
+            raise ConnectionRefusedError
+        return cls(address[0])
+
+    def usable(self) -> bool:
+        return self.sound
+
+    def look_behind(self) -> None:
+        pass
+
+    def close(self) -> None:
+        self.sound = False
+
+    def take_back(self, why: Exception) -> bool:
+        if self.written or self.taken_back is None or self.taken_back.done():
+            return False
+        self.taken_back.set_exception(why)
+        return True
+
+    async def request(
+        self, method: str, path: str, headers: dict[str, str], body: bytes, stall: float,
+        whole: Callable[[], None], until: float, heard: Callable[[Headers], None],
+    ) -> Answer:  # fmt: skip
+        day, loop, draw = self.day, asyncio.get_running_loop(), self.day.random
+        if draw.random() < 0.05:
+            self.sound = False
+            raise Unusable
+        batch = path.endswith(":batch")
+        ids = [row["id"] for row in json.loads(body)] if batch else [headers["Request-Id"]]
+        day.first_byte(self.host, ids)
+        try:
+            if draw.random() < 0.1:  # its last byte goes out slowly
+                self.written = False
+                self.taken_back = loop.create_future()
+                await asyncio.wait([self.taken_back], timeout=draw.uniform(0, 0.5))
+                if self.taken_back.done():
+                    self.taken_back.result()
+                self.written = True
+            self.written_at = loop.time()
+            whole()
+            answer = self.answer(ids, draw)
+            delay = draw.choice([draw.uniform(0, 0.2), draw.uniform(0, 0.2), draw.uniform(0, 2.0)])
+            if answer is None or answer.status in (200, 500):
+                day.ran.update(ids)
+            await asyncio.sleep(min(delay, until - loop.time()))
+            if loop.time() >= until:
+                raise TimeoutError
+            self.heard_at = loop.time()
+            if answer is None:
+                raise ConnectionBroken
+            heard(answer.headers.items())
+            if draw.random() < 0.1:
+                await asyncio.sleep(draw.uniform(0, 0.3))
+                raise AnswerSpoilt
+            return answer
+        finally:
+            day.out.difference_update(ids)
+
+    def answer(self, ids: list[str], draw: random.Random) -> Answer | None:
+        status = draw.choice([200] * 12 + [429] * 5 + [500, 503, 0])
+        told = draw.choice([0, 0, draw.randrange(50, 900), draw.randrange(50, 900)])
+        told = 12_000 if draw.random() < 0.02 else told
+        headers = {b"x-come-back-ms": b"%d" % told} if status not in (0, 200) or draw.random() < 0.1 else {}
+        rows = ",".join(f'{{"id":"{name}","state":"delivered"}}' for name in ids)
+        return Answer(status, headers, f"[{rows}]".encode()) if status else None
+
+
+def play(folder: Path, seed: int, monkeypatch: pytest.MonkeyPatch, asks: bool = True) -> Day:
+    loop = Loop()
+    for name, module in list(sys.modules.items()):
+        if name.startswith("loftrelay.") and hasattr(module, "wall_clock"):
+            monkeypatch.setattr(module, "wall_clock", lambda: int(loop.now * 1e6))
+    monkeypatch.setattr(hosts_module, "Connection", Host)
+    days: list[Day] = []
+
+    async def main() -> None:
+        Host.day = day = Day(folder, seed, asks)
+        days.append(day)
+        await day.live(40.0)
+        day.hosts.close()
+
+    def run(what: Coroutine[Any, Any, None]) -> None:
+        try:
+            loop.run_until_complete(what)
+        finally:
+            loop.close()
+
+    run(main())
+    return days[0]
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_no_first_byte_inside_a_wait_read_before(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    day = play(tmp_path, seed, monkeypatch)
+    assert not day.early and not day.faults and len(day.taken) > 200
+
+
+def test_the_book_finds_calls_inside_a_wait(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The same days, where nothing between the module's decision and the first byte asks for waits."""
+    days = [play(tmp_path / str(seed), seed, monkeypatch, asks=False) for seed in range(3)]
+    assert any(day.early for day in days) and not any(day.held for day in days)
