A batch call is given up before the first of its messages has had its time

The answer was believed since engine.LATE_ANSWER kept batch calls out for 0.1 s longer. Not understood: batches answered as late after less than 1.3 s were counted (12 seen).

Change: given up 20 ms before that time.

--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -43,9 +43,9 @@
 # Seconds for which what was decided may wait for the store of record: whatever comes meanwhile, and while its
 # destination told of nothing but success.
 LONGEST_INTENT, LONGEST_CALM_INTENT = 0.1, 1.0
-# Microseconds for which a batch call stays out after the first of its messages had its time: its answer
-# speaks for the others, too. A notice is due 0.3 s after that time, and may need a second try.
-LATE_ANSWER = 100_000
+# Microseconds before the first of its messages has had its time at which a batch call is given up. Trouble:
+# answers that came up to 0.1 s after it were believed, and the platform counted none of their messages.
+BATCH_MARGIN = 20_000
 LATE_MS = 20  # before an attempt whose intent came late is decided anew
 # Passes of the loop after a stall before anything is decided: all that came meanwhile is read in the first,
 # who waits for it runs in the second, and has told the engine by the third.
@@ -691,7 +691,7 @@
             self.lives.send(held.id, self.now)
         # By the module's clock, which does not step, and as of now: a turn may have taken long.
         ends = min(self.brain.messages[held.id].deadline for held in messages)
-        left = ends - self._clock() + (LATE_ANSWER if batch else 0)
+        left = ends - self._clock() - (BATCH_MARGIN if batch else 0)
         timeout = max(0, min(left, max(send.timeout for send in sends)))
         limits = [send.most_idle for send in sends if send.most_idle is not None]
         unsafe = any(not may_repeat(held.terms) for held in messages)
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -126,10 +126,10 @@
 
 
 @pytest.mark.parametrize("batch", [True, False])
-def test_a_batch_call_stays_out_a_moment_after_the_first_of_its_messages_had_its_time(
+def test_a_batch_call_is_given_up_before_the_first_of_its_messages_has_had_its_time(
     tmp_path: Path, batch: bool
 ) -> None:
-    """Its answer speaks for the others, too: it may come until the notice is due, less a second try."""
+    """The platform counts none of what an answer after that time calls delivered."""
 
     async def main() -> None:
         engine = make_engine(tmp_path)
@@ -147,7 +147,7 @@
         engine._call("h", sends, batch)
         gone = (wall_clock() - now) / 1e6
         assert len(given) == 1
-        most = 2.1 if batch else 2.0
+        most = 1.98 if batch else 2.0
         assert most - gone <= given[0].timeout <= most
         engine.notices.close()
         engine.delivery.close()
--- a/tests/delivery/test_hard_cases.py
+++ b/tests/delivery/test_hard_cases.py
@@ -247,6 +247,8 @@
         monkeypatch.setattr(hosts_module, "HOLD", Spy(held))
         ending = await sender.send("order", unsafe=True)
         assert ending.result is Result.FULL and ending.wait == 70_000 and not held
+        assert sender.told.is_set()
+        sender.waits.clear()
         assert (await sender.send("quick", unsafe=True)).result is Result.OK
         assert held  # a delivery as quick as that is held
 
