Lists of 1,024 relays and servers: room for operators' calls about each of them

Need: other deployments have some hundreds of servers and up to about 230 processes; no cap below 1,024. Found: fleet/verdicts kept 500 hosts, fleet-calls.json 64 KB, hosts-out.json 16 KB (442 ids of 32 characters). Looked at and left: notices 500 in one call and SELECTs of 500 ids are pieces, not bounds; 24 callers at the door are connections; the list of hosts may hold 1 MB.

--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -100,7 +100,7 @@
     logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", handlers=[handler])
     connections, record, fleet = Limits(), None, None
     try:
-        config = load_config(os.environ)
+        config = load_config(os.environ, fleet=asked.fleet is not None)
         if asked.connections:
             from loftrelay.delivery.settings import load_limits
 
--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -14,7 +14,7 @@
 from loftrelay.net.address import Address, parse_address
 from loftrelay.settings.checked import SettingsError
 from loftrelay.settings.platform import check_change, check_settings
-from loftrelay.state.files import ROOM
+from loftrelay.state.files import ROOM, ROOM_FOR_CALLS
 from loftrelay.state.last_file import LastFile
 from mulleinlead.adapter import read_settings
 from mulleinlead.interface import Settings
@@ -99,25 +99,25 @@
         raise ConfigError(f"{path}: {error}") from error
 
 
-def load_config(environ: Mapping[str, str]) -> Config:
+def load_config(environ: Mapping[str, str], fleet: bool = False) -> Config:
     """The environment names what it names; the rest comes from the file, or where that can't be used, from
-    what was last in force. Raises ConfigError."""
+    what was last in force. `fleet`: the relay is to know others. Raises ConfigError."""
     try:
-        return _config(environ, read_file(environ), environ["RELAY_CONFIG"])
+        return _config(environ, read_file(environ), environ["RELAY_CONFIG"], fleet)
     except ConfigError as error:
         kept = LastFile(Path(environ["RELAY_STATE"])) if environ.get("RELAY_STATE") else None
         told = kept.load() if kept is not None else None
         if kept is None or told is None:
             raise
         try:
-            config = _config(environ, told, str(kept.path))
+            config = _config(environ, told, str(kept.path), fleet)
         except ConfigError:
             raise error from None
         log.error("%s: the relay starts with what was last in force", error)
         return config
 
 
-def _config(environ: Mapping[str, str], told: Mapping[str, Any], path: str) -> Config:
+def _config(environ: Mapping[str, str], told: Mapping[str, Any], path: str, fleet: bool) -> Config:
     limits = told.get("limits", {})
     try:
         sockets = int(limits.get("sockets", 1024))
@@ -136,7 +136,7 @@
             seed=seed,
             most_clients=min(clients, int(limits.get("memory_mb", 64)) * CLIENTS_A_MB),
             most_to_hosts=to_hosts,
-            disk_bytes=_journal_room(float(limits.get("disk_mb", 3))),
+            disk_bytes=_journal_room(float(limits.get("disk_mb", 3)), control is not None or fleet),
             settings=settings,
             known=told.get("known") or {},
             control=parse_address(control) if control else None,
@@ -149,9 +149,10 @@
         raise ConfigError(f"{path} holds a bad value: {error}") from error
 
 
-def _journal_room(disk_mb: float) -> int:
+def _journal_room(disk_mb: float, calls: bool) -> int:
+    """`calls`: hosts may be taken out by hand."""
     disk = int(disk_mb * 1_000_000)
-    return max(disk - ROOM, disk * 9 // 10)
+    return max(disk - (ROOM_FOR_CALLS if calls else ROOM), disk * 8 // 10 if calls else disk * 9 // 10)
 
 
 def _descriptor(text: str | None) -> int | None:
--- a/loftrelay/fleet/verdicts.py
+++ b/loftrelay/fleet/verdicts.py
@@ -14,7 +14,7 @@
 
 from loftrelay.fleet.spread import Spread
 
-MOST = 500  # hosts of which something is known
+MOST = 2_048  # hosts of which something is known
 MOST_STAMP = 1 << 53  # a later one is no time
 NEWS, SPARE = 5, 2  # that go with one datagram
 
--- a/loftrelay/joining.py
+++ b/loftrelay/joining.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger(__name__)
 
-NAME, MOST = "fleet-calls.json", 64_000  # bytes
+NAME, MOST = "fleet-calls.json", 128_000  # bytes: of 1,024 hosts with ids and names of 40 characters
 HOLD_AGAIN = 1.0  # seconds between tries to make a call from elsewhere hold here
 AGAIN = 0.1  # seconds between tries for a socket that the process before still has
 COUNTS = (
--- a/loftrelay/state/files.py
+++ b/loftrelay/state/files.py
@@ -6,8 +6,9 @@
 import os
 from pathlib import Path
 
-# What all of them, and the lock, may take together, in bytes: the journal does without as much.
-ROOM = 100_000
+# What all of them, and the lock, may take together, in bytes, while the largest is replaced: the journal does
+# without as much. The larger one where operators can take hosts out, at this relay's door or at others'.
+ROOM, ROOM_FOR_CALLS = 100_000, 360_000
 
 
 def write_whole(path: Path, data: bytes, most: int) -> None:
--- a/loftrelay/state/hosts_out.py
+++ b/loftrelay/state/hosts_out.py
@@ -11,7 +11,7 @@
 
 log = logging.getLogger(__name__)
 
-NAME, MOST = "hosts-out.json", 16_000  # bytes
+NAME, MOST = "hosts-out.json", 64_000  # bytes: 1,024 hosts with ids of 58 characters
 
 
 class HostsOut:
