A call recalled in the pass in which it was held or denied has one outcome

Cause: read while sweeping for siblings of the told waits: Hosts.recall cancels a call whose future holds an exception already; _connection then raised that in place of the cancelling, and the call had an outcome besides being given back: before a handover the other process would hear of a call that it had decided anew. Change: a recalled call tells nothing. Measured: both tests fail without it.

--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -66,6 +66,7 @@
     granted: asyncio.Future[pools.Use] | None = None
     line: Line | None = None  # that carries it, from its first byte on
     wait: int = 0  # told in the head of its answer, microseconds
+    recalled: bool = False
 
 
 @dataclass(slots=True)
@@ -163,7 +164,8 @@
 
     def recall(self) -> list[tuple[Held, str]]:
         back = [(task, call) for task, call in self.calls.items() if not call.asked]
-        for task, _ in back:
+        for task, call in back:
+            call.recalled = True
             task.cancel()  # it ends with no outcome
         return [(message, call.host) for _, call in back for message in call.messages]
 
@@ -202,6 +204,8 @@
             log.exception("a call to %s was given up", call.host)
             result = Result.BROKEN if call.asked else Result.NOT_SENT
             endings = {message.id: Ending(result) for message in call.messages}
+        if call.recalled:
+            return  # it was denied, or held, in the same pass
         self.pulse.look(asyncio.get_running_loop().time())
         late = self.pulse.since(call.at)
         for message in call.messages:
--- a/tests/delivery/test_waits.py
+++ b/tests/delivery/test_waits.py
@@ -97,6 +97,29 @@
     run(scenario, most_per_server=1)
 
 
+@pytest.mark.parametrize("why", ["held", "denied"])
+def test_a_call_that_is_recalled_in_the_same_pass_has_no_second_outcome(
+    monkeypatch: pytest.MonkeyPatch, why: str
+) -> None:
+    """Before a handover: whoever took it back has it, and must not hear of it again."""
+
+    async def scenario(partner: Partner, sender: Sender) -> None:
+        gate = Gate(monkeypatch)
+        ending = sender.send("m")
+        while not gate.asked:
+            await asyncio.sleep(0)
+        (task,) = sender.hosts.calls
+        if why == "held":
+            sender.tell("g", LONG * 1000)
+        else:
+            sender.hosts.forget("h")
+        assert [held.id for held, _ in sender.hosts.recall()] == ["m"]
+        await asyncio.wait([task])
+        assert not ending.done()
+
+    run(scenario)
+
+
 def test_during_the_rest_of_its_connection() -> None:
     async def scenario(partner: Partner, sender: Sender) -> None:
         assert (await sender.send("a")).result is Result.OK
