A wait told while the process stands still; tests of heads fail in time

Need: a stall across a wait's start is a hard case too, and a test without the mend waited for ever. Change: one case more, a limit of 60 s.

--- a/tests/delivery/test_waits.py
+++ b/tests/delivery/test_waits.py
@@ -17,6 +17,7 @@
 from tests.delivery.sender import Sender
 from tests.standins.partner import Behaviour, Call, Doing, Partner
 
+HANG = 60  # seconds after which a test that waits has failed
 LONG = 3_600_000  # ms: over the whole test, however busy the machine
 
 
@@ -222,7 +223,7 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         async with Sender({"h": server.sockets[0].getsockname()[:2]}) as sender:
             sender.send("a", "b", batch=True, timeout=30.0)
-            await sender.told.wait()
+            await asyncio.wait_for(sender.told.wait(), HANG)
             assert sender._bound("h")
             assert [(await sender.ended[name]).wait for name in "ab"] == [LONG * 1000] * 2
         server.close()
--- a/tests/program/test_waits.py
+++ b/tests/program/test_waits.py
@@ -45,7 +45,7 @@
 
 
 @pytest.mark.parametrize("kind", ["plain", "bulk"])
-@pytest.mark.parametrize("event", ["none", "drained", "gone", "moved", "SIGHUP", "SIGSTOP"])
+@pytest.mark.parametrize("event", ["none", "drained", "gone", "moved", "SIGHUP", "SIGSTOP", "told stopped"])
 def test_a_wait_lasts_through(tmp_path: Path, event: str, kind: str) -> None:
     async def scenario(w: World) -> None:
         full = Full()
@@ -54,6 +54,12 @@
         assert w.process is not None
         assert await w.hand_in("first") == 202
         await w.until(lambda: host.ids == ["first"])
+        if event == "told stopped":  # across its start
+            w.process.send_signal(signal.SIGSTOP)
+            full.let.set()
+            await w.until(lambda: host.answered == 1)
+            await asyncio.sleep(WAIT / 3)
+            w.process.send_signal(signal.SIGCONT)
         await told(w, full, host)
         row = w.members[0]
         match event:
