An Idempotency-Key goes on to the host, in calls, batches and over restarts

Traced in a copy, each request beside its call: the message was of a class whose repeats are dropped and came with Idempotency-Key; the call did not carry it. Ruled out: bodies, ids, Content-Length, the key of the order.

Change: the header is read (once, 256 visible characters), journaled and sent on; in a batch it is the row's key. A message's record leaves out what has its default.

--- a/loftrelay/core/message.py
+++ b/loftrelay/core/message.py
@@ -35,3 +35,4 @@
     ran_on: str | None = None
     notice: dict[str, Any] | None = None  # its end, until the platform has heard it
     terms: Sequence[Any] | None = None  # taken on under (core/terms.py); None: an older program took it on
+    idempotency_key: str | None = None  # by which its host drops repeats; goes on unchanged
--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -52,6 +52,14 @@
         self.why = why
 
 
+def batch_row(message: Held) -> dict[str, str]:
+    """One message of a batch call. Its key is that by which repeats are dropped, else that of its order."""
+    key = message.idempotency_key or message.key
+    return {
+        "id": message.id, **({"key": key} if key else {}), "body": base64.b64encode(message.body).decode(),
+    }  # fmt: skip
+
+
 @dataclass(slots=True)
 class Call:
     """Messages that travel together, and fare together: the call is given up as a whole."""
@@ -355,12 +363,11 @@
         headers = {"Host": "host", "Request-Timeout-Ms": str(max(1, int(timeout * 1000)))}
         if not call.terms.batch:
             headers["Request-Id"] = messages[0].id
+            if messages[0].idempotency_key is not None:
+                headers["Idempotency-Key"] = messages[0].idempotency_key
             body, path = messages[0].body, "/v1/messages"
         else:
-            rows = [
-                {"id": m.id, **({"key": m.key} if m.key else {}), "body": base64.b64encode(m.body).decode()}
-                for m in messages
-            ]
+            rows = [batch_row(message) for message in messages]
             headers["Content-Type"] = "application/json"
             body, path = json.dumps(rows, separators=(",", ":")).encode(), "/v1/messages:batch"
         headers["Content-Length"] = str(len(body))
--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -34,9 +34,10 @@
 AT_A_TIME, QUEUED = 8, 1024  # connections taken in one wake of the loop, and waiting to be
 MOST_KEY = 256
 ONCE = {
-    b"content-length", b"host", b"request-class", b"request-id", b"request-timeout-ms", b"tenant",
-    b"transfer-encoding", b"x-consignee",
+    b"content-length", b"host", b"idempotency-key", b"request-class", b"request-id", b"request-timeout-ms",
+    b"tenant", b"transfer-encoding", b"x-consignee",
 }  # fmt: skip
+IDEMPOTENCY_KEY = re.compile(r"[ -~]{1,256}")
 IDENTIFIER = re.compile(r"[!-~]{1,128}")
 NUMBER = re.compile(r"[0-9]{1,9}")
 DESTINATION = re.compile(r"(?:^|[,;\s])dest=([0-9]{1,9})(?:$|[,;\s])")
@@ -91,8 +92,14 @@
     if len(path) == 2 and len(path[1]) > MOST_KEY:
         raise BadRequest(400, "the key is too long")
     key = path[1] if about.in_order and len(path) == 2 and path[1] else None
+    idempotency_key = headers.get("idempotency-key")
+    if idempotency_key is not None and not IDEMPOTENCY_KEY.fullmatch(idempotency_key):
+        raise BadRequest(400, "Idempotency-Key is malformed")
     deadline = arrived + int(timeout) * 1000
-    return Held(identity, 0, about.name, tenant, int(destination[1]), key, arrived, deadline, body)
+    return Held(
+        identity, 0, about.name, tenant, int(destination[1]), key, arrived, deadline, body,
+        idempotency_key=idempotency_key,
+    )  # fmt: skip
 
 
 class Client(asyncio.Protocol):
--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -16,7 +16,7 @@
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass, fields
+from dataclasses import MISSING, dataclass, fields
 from pathlib import Path
 from typing import Any
 
@@ -38,7 +38,8 @@
 MOST_DOUBTS = 1_000  # a key rests for parts of a second: far fewer can matter at once
 
 
-TOLD = [field.name for field in fields(Held) if field.name != "body"]
+# What a message's record holds, and what is left out there.
+TOLD = {field.name: field.default for field in fields(Held) if field.name != "body"}
 
 
 @dataclass(slots=True, frozen=True)
@@ -225,7 +226,9 @@
     # On disk
 
     def _tell(self, held: Held) -> None:
-        self._write({"t": "take", **{name: getattr(held, name) for name in TOLD}}, held.body)
+        told = ((name, getattr(held, name), default) for name, default in TOLD.items())
+        record = {name: value for name, value, default in told if default is MISSING or value != default}
+        self._write({"t": "take", **record}, held.body)
 
     def _write(self, record: dict[str, Any], body: bytes = b"") -> None:
         payload = encode(record).encode() + b"\n" + body
