A repeat begins inside its window, and no call begins at a host that drains

Read beside it: calls that waited at the moment of a drain still went out, up to the connect time-out and 0.5 s later (3 s with deep-water's settings, whose drains allow 1.5 s).

Change: Send.begin_within and Terms.begin_within bound a repeat's last byte; the window ends a tenth early (0.1 s at most), and the last try goes 0.25 s before it.

Measured: tests/delivery/test_decided_and_not_begun.py, in each step between decision and last byte, over loopback.

--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 from functools import partial
@@ -535,7 +536,7 @@
         attempt = held.attempts - 1
         unsent = ending.stale or ending.held
         if unsent:
-            why = "its host told to wait" if ending.held else "the process stood still"
+            why = "its host told to wait" if ending.held else "a stall, a drain or the end of a window came"
             log.info("%s was not sent: %s since that was decided", held.id, why)
             held.attempts -= 1  # it costs no try
         if ending.over:
@@ -695,7 +696,8 @@
         timeout = max(0, min(left, max(send.timeout for send in sends)))
         limits = [send.most_idle for send in sends if send.most_idle is not None]
         unsafe = any(not may_repeat(held.terms) for held in messages)
-        terms = Terms(timeout / 1e6, batch, unsafe, min(limits, default=None))
+        within = (send.begin_within / 1e6 for send in sends if send.begin_within is not None)
+        terms = Terms(timeout / 1e6, batch, unsafe, min(limits, default=None), min(within, default=math.inf))
         self._ask(0, host, messages, terms)
 
     def _ask(self, place: int, host: str, messages: list[Held], terms: Terms) -> None:
@@ -715,7 +717,9 @@
         took = asyncio.get_running_loop().time() - began
         calm = self.unsettled.get(messages[0].destination, 0.0) < began
         if granted and took < (LONGEST_CALM_INTENT if calm else LONGEST_INTENT) and not self.stopped:
-            self._ask(place + 1, host, messages, replace(terms, timeout=max(0.0, terms.timeout - took)))
+            left = max(0.0, terms.timeout - took)
+            terms = replace(terms, timeout=left, begin_within=terms.begin_within - took)
+            self._ask(place + 1, host, messages, terms)
             return
         for permit in self.permits[: place + 1]:
             for held in messages:
--- a/loftrelay/core/ports.py
+++ b/loftrelay/core/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -24,7 +25,7 @@
     expired: bool = False  # its host holds that its time is up: its end is owed, and never an attempt more
     wait: int = 0  # told wait, microseconds
     idle: int | None = None  # how long its connection had stood idle, microseconds; 0: a new one
-    stale: bool = False  # not begun: the process stood still since it was decided
+    stale: bool = False  # not begun, or not whole when taken back: what was decided holds no more
     held: bool = False  # not begun, or not whole when taken back: its host told to wait since it was decided
     late: bool = False  # the process stood still while it was out: when it came is not known
 
@@ -37,6 +38,7 @@
     batch: bool
     unsafe: bool  # it holds a message that must not run twice
     most_idle: int | None  # no connection that has stood idle for so long (microseconds) carries it
+    begin_within: float = math.inf  # seconds in which its last byte goes out, or none does
 
 
 class Journal(Protocol):
--- a/loftrelay/delivery/hosts.py
+++ b/loftrelay/delivery/hosts.py
@@ -37,7 +37,8 @@
 
 
 class Stale(Exception):
-    """The process stood still since the call was decided, and not a byte of it is written."""
+    """What was decided holds no more: the process stood still, the host drains or is gone, or the window in
+    which repeats are dropped is over. The host has not the whole of the call."""
 
 
 class Bound(Exception):
@@ -76,6 +77,10 @@
     wait: int = 0  # told in the head of its answer, microseconds
     recalled: bool = False
 
+    @property
+    def begin_by(self) -> float:
+        return self.at + self.terms.begin_within
+
 
 @dataclass(slots=True)
 class Answered:
@@ -133,6 +138,7 @@
         self.told = told
         self.bound = bound
         self.addresses: dict[str, Address] = {}
+        self.draining: set[str] = set()
         self.lines: dict[int, Line] = {}
         self.opening: dict[int, asyncio.Task[None]] = {}
         self.waiting: dict[int, Call] = {}
@@ -147,14 +153,22 @@
     def place(self, host: str, address: Address, destination: int) -> None:
         """Connections to where it was lead to someone else from now on."""
         self.addresses[host] = address
+        self.draining.discard(host)
         self._do(self.pools.place(host, address, destination, self._now()))
 
     def drain(self, host: str) -> None:
+        """Calls of which nothing is written come back. Trouble: one that waited for its connection went out
+        1.5 s after the drain was told, and some platforms allow less."""
+        self.draining.add(host)
+        for call in self.waiting.values():
+            if call.host == host and call.granted is not None and not call.granted.done():
+                call.granted.set_exception(Stale())
         self._do(self.pools.drain(host, self._now()))
 
     def forget(self, host: str) -> None:
         self._do(self.pools.forget(host, self._now()))
         self.addresses.pop(host, None)
+        self.draining.discard(host)
 
     def close_idle(self, host: str) -> None:
         self._do(self.pools.close_idle(host, self._now()))
@@ -231,7 +245,7 @@
             while True:
                 # What was decided holds for a moment only: a drain or a wait may be told meanwhile.
                 self._holds(call, deadline)
-                async with asyncio.timeout_at(min(begin_by, deadline)):
+                async with asyncio.timeout_at(min(begin_by, call.begin_by, deadline)):
                     number = await self._connection(call)
                 try:
                     answer = await self._ask(call, number, deadline)
@@ -245,21 +259,20 @@
         except JournalFull:
             self._do(self.pools.unused(number, self._now()))
             return dict.fromkeys(ids, Ending(Result.NOT_SENT))
-        except Bound:
+        except (Bound, Stale) as why:
             if call.line is not None:  # a part of it is written
                 self._forget(number)
                 self._do(self.pools.broken(number, False, self._now()))
             else:
                 self._do(self.pools.unused(number, self._now()))
-            return dict.fromkeys(ids, Ending(Result.NOT_SENT, held=True))
-        except Stale:
-            self._do(self.pools.unused(number, self._now()))
-            return dict.fromkeys(ids, Ending(Result.NOT_SENT, stale=True))
+            bound = isinstance(why, Bound)
+            return dict.fromkeys(ids, Ending(Result.NOT_SENT, stale=not bound, held=bound))
         except Denied as denied:
             no_room = denied.why is pools.Denied.NO_ROOM
             return dict.fromkeys(ids, Ending(Result.NOT_SENT if no_room else Result.NO_CONNECTION))
         except TimeoutError:
-            if not call.asked and self.pulse.since(call.at):
+            now = asyncio.get_running_loop().time()
+            if not call.asked and (self.pulse.since(call.at) or now >= call.begin_by):
                 return dict.fromkeys(ids, Ending(Result.NOT_SENT, stale=True))
             if not call.asked:
                 waited = call.number in self.waiting and self.pools.waits_for_room(call.number)
@@ -324,7 +337,14 @@
         self._holds(call, deadline)  # the last step before the first byte: writing that may have taken long
         call.asked = line.asked = True
         call.line = line
-        answer = await self._request(line.connection, call, deadline)
+        clock = None
+        if call.begin_by < deadline:
+            clock = loop.call_at(call.begin_by, line.connection.take_back, Stale())
+        try:
+            answer = await self._request(line.connection, call, deadline)
+        finally:
+            if clock is not None:
+                clock.cancel()
         reached("heard")
         took = line.connection.heard_at - line.connection.written_at
         least = self.pools.earliest(number) if call.terms.unsafe and answer.status == 200 else 0
@@ -347,7 +367,9 @@
         message's time may have come meanwhile, and after a stall nobody knows."""
         now = asyncio.get_running_loop().time()
         self.pulse.look(now)
-        if self.pulse.since(call.at) or now >= deadline:
+        if self.pulse.since(call.at) or now >= min(deadline, call.begin_by):
+            raise Stale
+        if call.host in self.draining or call.host not in self.addresses:
             raise Stale
         if self.bound(call.host):
             raise Bound
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -54,6 +54,8 @@
 WARY = 0.3  # share of doubtful failures above which unsafe messages hold back
 # Cautious readings of settings that were not told.
 NO_SLOTS, NO_ATTEMPTS, NO_AIM = 1, 8, SECOND
+# Before a key's window is over: for the ways of two calls, which may differ, and for a last try.
+WINDOW_MARGIN, LAST_TRY = SECOND // 10, SECOND // 4
 NO_COLD, NO_COLD_FROM, NO_MULTIPLE, NO_TIP = 10 * SECOND, 0.2, 2.0, 2 * SECOND
 NO_ASK, NO_HELD, NO_IDLE = 10 * SECOND, 1 << 30, 10 * SECOND
 DOUBTFUL = (Result.ERROR, Result.TIMEOUT, Result.BROKEN, Result.SPOILT, Result.CANCELLED)
@@ -522,10 +524,11 @@
         )  # fmt: skip
 
     def _window_end(self, message: Message) -> int:
-        """Until when the destination still remembers the key; a tick early, to be safe."""
+        """Until when the destination still remembers the key; early, to be safe."""
         if message.ran_at is None or message.about.effect is not Effect.KEYED:
             return NEVER
-        return message.ran_at + (message.about.window or 0) - 2 * (self.told.tick or 0) - 1
+        window = message.about.window or 0
+        return message.ran_at + window - min(WINDOW_MARGIN, window // 10) - 2 * (self.told.tick or 0) - 1
 
     def _in_turn(self, message: Message) -> bool:
         """Rule 'order': the earlier ones of a key are over and known; the key has rested after doubt."""
@@ -711,7 +714,9 @@
             message.call = call
             message.depth += 1
             timeout = max(1, min(self._patience(message, endpoint), message.deadline - self.now))
-            self.actions.append(api.Send(message.name, endpoint.name, timeout, most_idle))
+            ends = self._window_end(message)  # trouble: it waited for a connection until its window was over
+            within = ends - self.now if ends < NEVER else None
+            self.actions.append(api.Send(message.name, endpoint.name, timeout, most_idle, within))
         call.members = len(members)
         self.calls_out += 1
         for counter in (gate, destination, endpoint):
@@ -958,7 +963,8 @@
         unsafe = message.about.effect not in (Effect.SAFE, Effect.KEYED)
         ends = self._window_end(message)
         if message.not_before >= ends:
-            message.not_before = max(self.now, ends - SECOND // 10)  # the last try that its key still covers
+            # The last try that its key still covers.
+            message.not_before = max(self.now, ends - min(LAST_TRY, (message.about.window or 0) // 4))
         gone = (unsafe and message.ran_at is not None) or message.not_before >= min(
             ends, self._last_send(message)
         )
--- a/mulleinlead/interface.py
+++ b/mulleinlead/interface.py
@@ -267,6 +267,7 @@
     endpoint: str
     timeout: int
     most_idle: int | None = None  # no connection that has stood idle for so long carries it; None: any may
+    begin_within: int | None = None  # its last byte goes out within so long, or none does; None: no bound
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/delivery/test_decided_and_not_begun.py
@@ -0,0 +1,125 @@
+"""What was decided holds no more, and the host has not the whole of the call: it goes back, over loopback.
+
+A drain, a host that is gone, and the end of the window in which a destination drops repeats: each told while
+the call waits for its connection, while that rests, in the journal's record and in the midst of its bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from loftrelay.core.message import Held
+from mulleinlead import interface as api
+from mulleinlead.interface import Result
+from tests.delivery.sender import Sender
+from tests.delivery.test_waits import Gate, run
+from tests.mulleinlead.world import MS, Driver, S, ends, entry, sends
+from tests.standins.partner import Partner
+
+WINDOW = 0.15  # seconds
+
+TOLD: dict[str, Callable[[Sender], None]] = {
+    "drain": lambda sender: sender.hosts.drain("h"),
+    "gone": lambda sender: sender.hosts.forget("h"),
+    "window": lambda sender: None,  # it ends by itself
+}
+
+
+def within(why: str) -> float:
+    return WINDOW if why == "window" else 60.0
+
+
+@pytest.mark.parametrize("why", TOLD)
+def test_while_it_waits_for_its_connection(monkeypatch: pytest.MonkeyPatch, why: str) -> None:
+    async def scenario(partner: Partner, sender: Sender) -> None:
+        gate = Gate(monkeypatch)
+        ending = sender.send("m", begin_within=within(why))
+        while not gate.asked:
+            await asyncio.sleep(0)
+        TOLD[why](sender)
+        told = await ending
+        assert told.result is (Result.NO_CONNECTION if why == "gone" else Result.NOT_SENT)
+        assert told.stale == (why != "gone")
+        gate.room.release()
+        await asyncio.sleep(0.05)
+        assert not partner.calls and not sender.tried
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("why", TOLD)
+def test_while_its_connection_rests(why: str) -> None:
+    async def scenario(partner: Partner, sender: Sender) -> None:
+        assert (await sender.send("a")).result is Result.OK
+        ending = sender.send("m", begin_within=within(why))
+        while sender.hosts.waiting or not sender.hosts.calls:
+            await asyncio.sleep(0)
+        TOLD[why](sender)
+        assert (await ending).result in (Result.NOT_SENT, Result.NO_CONNECTION)
+        assert partner.ids == ["a"] and sender.tried == ["a"]
+
+    run(scenario, rest=300_000, most_rest=300_000, most_per_server=1)
+
+
+@pytest.mark.parametrize("why", TOLD)
+def test_while_its_record_is_written(why: str) -> None:
+    async def scenario(partner: Partner, sender: Sender) -> None:
+        def tried(held: Held, host: str) -> None:
+            TOLD[why](sender)
+            if why == "window":
+                until = asyncio.get_running_loop().time() + WINDOW
+                while asyncio.get_running_loop().time() < until:
+                    pass
+
+        sender.hosts.tried = tried
+        ending = await sender.send("m", begin_within=within(why))
+        assert (ending.result, ending.stale) == (Result.NOT_SENT, True) and not partner.calls
+
+    run(scenario)
+
+
+def test_while_its_last_byte_is_not_out() -> None:
+    """A window that ends under it: the rest is not sent, and the host never has it whole."""
+
+    async def main() -> None:
+        ended = asyncio.Event()
+
+        class Unread(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                assert isinstance(transport, asyncio.Transport)
+                transport.pause_reading()
+                asyncio.get_running_loop().call_later(3 * WINDOW, transport.resume_reading)
+
+            def connection_lost(self, exc: Exception | None) -> None:
+                ended.set()
+
+        server = await asyncio.get_running_loop().create_server(Unread, "127.0.0.1", 0)
+        async with Sender({"h": server.sockets[0].getsockname()[:2]}) as sender:
+            ending = await sender.send("m", body=b"x" * (32 << 20), begin_within=WINDOW)
+            assert (ending.result, ending.stale) == (Result.NOT_SENT, True)
+            await ended.wait()
+        server.close()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("window", [S, 5 * S])
+def test_the_module_bounds_each_repeat_by_its_window(window: int) -> None:
+    """The first call has no bound; each later one goes out whole before the window is over, or not at all."""
+    d = Driver(entry("a"))
+    d.warm()
+    about = api.MessageClass("k", api.Effect.KEYED, "all", window, S, 20 * S, 1.0, 0.4, False)
+    d.feed(api.Submit("m", 1, "k", None, 20 * S, None, api.MessageTerms(about, 12)))
+    first = d.now
+    while not ends(actions := d.outcome("m", Result.BROKEN, after=20 * MS)):
+        while not sends(actions) and not ends(actions):
+            actions = d.run(30 * S)
+        if ends(actions):
+            break
+    calls = [(at, send) for at, send in d.sent if send.message == "m"]
+    assert calls[0][1].begin_within is None and len(calls) > 1
+    for at, send in calls[1:]:
+        assert send.begin_within is not None and at < at + send.begin_within < first + window
