Clients' connections end by a lingering close, and nobody is left without an answer at the exit

Cause (read, then forced): Client.close and the eviction's abort closed over whatever had come unread, which resets the connection and may cost an answer not read yet; the exit cut half requests and connections that the system had taken without a word; asyncio's own server drops what it accepted in the pass before its close (Server._attach asserts).

Change: lingering close (half-close, read and throw away for 0.5 s, then close; an eighth of the places at most); the front accepts by its own reader and takes the queue before it stops listening; whoever has no answer 60 ms before the process ends is answered 503; with all places busy a new client is told 503 in place of a reset.

--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import base64
+import contextlib
+import logging
 import math
 import os
 import re
@@ -24,14 +26,18 @@
 from loftrelay.net.address import Address
 from loftrelay.net.http import unread
 
+log = logging.getLogger(__name__)
+
 MOST_BODY = 64 << 10
 MOST_DRAINED = 1 << 20  # bytes that a client may still send once it is turned away
-LINGER = 0.5  # seconds for which it may, and for which one that is closed may still read
+LINGER = 0.5  # seconds for which it may, and for which a lingering close reads and throws away
+LINGERING = 8  # part of all connections that may be in their lingering close: beyond, the oldest goes at once
 REQUEST_TIME = 2.0  # seconds from a request's first byte to its last; the first one's from the connection on
 IDLE_TIME = 3.0  # seconds for which a connection without a request is kept
 TIME_TO_SPEAK = 0.1  # seconds in which a client that has just come, or been answered, may ask something
 SWEEP = 0.2  # seconds between looks at who is overdue
 AT_A_TIME, QUEUED = 8, 1024  # connections taken in one wake of the loop, and waiting to be
+ACCEPT_PAUSE = 0.1  # seconds before more are taken after the descriptors have run out
 MOST_KEY = 256
 ONCE = {
     b"content-length", b"host", b"idempotency-key", b"request-class", b"request-id", b"request-timeout-ms",
@@ -190,7 +196,7 @@
 
     def overdue(self) -> None:
         if self.refused:
-            self.abort()
+            self.drop()
         elif self.idle and not self.may_go:
             pass  # it is read next
         elif self.idle and self not in self.server.newcomers:
@@ -200,11 +206,30 @@
             self._refuse(408, "the request did not come in time")
 
     def close(self) -> None:
-        """Closes once what was written is sent; a peer that does not read is not waited for."""
+        """Lingering close: no more is sent, and what still comes is read and thrown away until the client has
+        ended, too, or its time is up. A close over unread bytes would reset the connection, and what was
+        answered might never be read; what is read from here on is not taken on."""
         self.refused = True
         self._wait(LINGER)
-        if self.transport is not None:
-            self.transport.close()
+        self.server.lingers(self)
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            transport.resume_reading()
+            transport.write_eof()
+
+    def drop(self) -> None:
+        """Ends a lingering close, without a reset where nothing has come that is unread. A client that does
+        not read is not waited for."""
+        transport = self.transport
+        if transport is not None and not unread(transport) and not transport.get_write_buffer_size():
+            transport.close()
+        else:
+            self.abort()
+
+    def turn_away(self, reason: str) -> None:
+        """It is told to come again elsewhere, or later: nothing of it was taken on."""
+        if not self.refused:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, reason)
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -271,14 +296,11 @@
         if self.wire.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.abort()
             return
-        self.refused = True
-        self._wait(LINGER)
         headers = [("Connection", "close")]
         if status == HTTPStatus.METHOD_NOT_ALLOWED and self.request is not None:
             headers.append(("Allow", "GET, HEAD" if self.request.target == READY.encode() else "POST"))
         self._respond(status, headers, reason)
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write_eof()
+        self.close()
 
     def _answer(self, status: int, again_ms: int = 0) -> None:
         if self.pending is None and self.transport is not None and self.transport.is_closing():
@@ -343,15 +365,19 @@
 class Server:
     def __init__(self, engine: Engine, most_clients: int) -> None:
         self.engine = engine
-        self.most_clients = most_clients
+        self.most_lingering = max(1, most_clients // LINGERING)
+        self.most_clients = most_clients - self.most_lingering
         self.newcomers: dict[Client, None] = {}  # no whole request has come yet; in the order of arrival
         self.once: dict[
             Client, None
         ] = {}  # those that have asked once, and more often; in the order of their
         self.regulars: dict[Client, None] = {}  # last answers
+        self.lingering: dict[Client, None] = {}  # in their lingering close, the oldest first
         self.stopping = False  # idle connections are kept: no new ones will come
         self.closed = False
-        self.listener: asyncio.Server | None = None
+        self.listening: socket.socket | None = None
+        self.attaching: set[asyncio.Task[None]] = set()  # connections that were accepted just now
+        self.accepting_again: asyncio.TimerHandle | None = None
         self.inherited: int | None = None
         self.frozen = False
         self.giving: Callable[[dict[str, Any], int], None] | None = None  # who comes late, goes there too
@@ -366,27 +392,59 @@
         else:
             family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
             listening = socket.create_server(address, family=family)
-        await self._accept(listening)
+        self._listen(listening)
         self._sweep()
         host, port = listening.getsockname()[:2]
         return host, port
 
-    async def _accept(self, listening: socket.socket) -> None:
-        # asyncio's backlog is also how many connections one wake accepts: more than there are descriptors
-        # would stop it for a second. The system may queue many more. It would also set the queue's length of
-        # a socket that is another's, so that such a one is made to listen as it did.
-        self.listener = await asyncio.get_running_loop().create_server(
-            lambda: Client(self), sock=listening, backlog=AT_A_TIME
-        )
+    def _listen(self, listening: socket.socket) -> None:
+        """By its own reader. Trouble: asyncio's server drops what it accepted in the pass before its close."""
+        listening.setblocking(False)
         listening.listen(QUEUED)
+        self.listening = listening
+        self._accept_again()
+
+    def _accept_again(self) -> None:
+        if self.listening is not None:
+            asyncio.get_running_loop().add_reader(self.listening.fileno(), self._accept, AT_A_TIME)
+
+    def _accept(self, most: int) -> None:
+        """One wake takes few, so that places can be freed in between. The system queues many more."""
+        assert self.listening is not None
+        loop = asyncio.get_running_loop()
+        for _ in range(most):
+            try:
+                accepted, _ = self.listening.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:  # descriptors have run out: those that come wait until some are free
+                log.warning("a connection can't be accepted: %s", error)
+                loop.remove_reader(self.listening.fileno())
+                self.accepting_again = loop.call_later(ACCEPT_PAUSE, self._accept_again)
+                return
+            accepted.setblocking(False)
+            task = loop.create_task(self._attach(accepted))
+            self.attaching.add(task)
+            task.add_done_callback(self.attaching.discard)
+
+    async def _attach(self, accepted: socket.socket) -> None:
+        with contextlib.suppress(OSError):  # it went on the way
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: Client(self), accepted)
+
+    def _stop_listening(self) -> None:
+        if self.accepting_again is not None:
+            self.accepting_again.cancel()
+        if self.listening is not None:
+            asyncio.get_running_loop().remove_reader(self.listening.fileno())
+            self.listening.close()
+            self.listening = None
 
     # Between two processes
 
     def freeze(self) -> None:
         """Takes nobody and reads nothing. What clients write waits in their sockets."""
         self.frozen = True
-        if self.listener is not None:
-            self.listener.close()
+        self._stop_listening()
         for client in self.clients():
             if client.transport is not None and not client.refused:
                 client.transport.pause_reading()
@@ -397,7 +455,7 @@
             if client.transport is not None and not client.refused:
                 client.transport.resume_reading()
         if self.inherited is not None:
-            await self._accept(socket.socket(fileno=os.dup(self.inherited)))
+            self._listen(socket.socket(fileno=os.dup(self.inherited)))
 
     def hand(self, give: Callable[[dict[str, Any], int], None]) -> None:
         """Gives each client that another process can go on with: its row and its descriptor, which is to be
@@ -435,8 +493,18 @@
         client.since = asyncio.get_running_loop().time()
         if len(self.newcomers) + len(self.once) + len(self.regulars) > self.most_clients:
             leaves = self._least_missed(client)
-            self.gone(leaves)
-            leaves.abort()
+            if leaves is client:
+                leaves.turn_away("all places are taken")
+            else:
+                leaves.close()
+
+    def lingers(self, client: Client) -> None:
+        self.gone(client)
+        self.lingering[client] = None
+        if len(self.lingering) > self.most_lingering:
+            oldest = next(iter(self.lingering))
+            del self.lingering[oldest]  # now: the loop tells of its end only in a later pass
+            oldest.drop()
 
     def _least_missed(self, client: Client) -> Client:
         """Who goes so that a new client may stay: one that has had time to speak and said nothing, then the
@@ -452,6 +520,7 @@
         return silent or idle or client
 
     def clients(self) -> list[Client]:
+        """All that are not in their lingering close."""
         return [*self.newcomers, *self.once, *self.regulars]
 
     def served(self, client: Client) -> None:
@@ -466,21 +535,36 @@
         self.newcomers.pop(client, None)
         self.once.pop(client, None)
         self.regulars.pop(client, None)
+        self.lingering.pop(client, None)
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
         self.sweeping = loop.call_later(SWEEP, self._sweep)
         self.engine.pulse.look(loop.time())
         self.engine.pulse.expect(self.sweeping.when())
-        for client in self.clients():
+        for client in (*self.clients(), *self.lingering):
             if client.due <= loop.time() and (client.refused or not self.frozen):
                 client.overdue()
 
-    def close(self) -> None:
-        """No further connections, and none kept on which no request is open."""
+    @property
+    def unfinished(self) -> bool:
+        """Whether a client is still there, be it in its lingering close."""
+        return bool(self.newcomers or self.once or self.regulars or self.lingering)
+
+    async def close(self) -> None:
+        """No further connections but those that the system has taken already, and none kept on which no
+        request is open."""
         self.closed = True
-        if self.listener is not None:
-            self.listener.close()
+        if self.listening is not None and self.inherited is None:
+            self._accept(QUEUED)  # the system would reset those
+        self._stop_listening()
+        if self.attaching:
+            await asyncio.wait(self.attaching)
         for client in self.clients():
-            if client.may_go:
+            if client.may_go and client not in self.newcomers:  # those may be about to ask, and get an answer
                 client.close()
+
+    def end(self) -> None:
+        """The last thing before the process ends: whoever has no answer yet gets one."""
+        for client in self.clients():
+            client.turn_away("the relay ends")
--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -34,6 +34,7 @@
 # After SIGTERM, in seconds: calls are begun until, messages taken on until, the process ends at the latest.
 # Clients have nowhere else to go before the restart, so they are served for as long as there is time.
 BEGIN, TAKE, END = 2.8, 3.45, 3.6
+LAST_ANSWERS = 0.06  # before that end: who has no answer by then gets one, and is left this long to read it
 LOOK = 0.02  # seconds between looks at what is still out
 CATCH_UP = 1.0  # seconds at the most for which a start tells what ran out of time, before it is ready
 
@@ -232,8 +233,11 @@
         engine.hold()
         log.info("%s begins no more calls", self.config.name)
         await asyncio.sleep(began + TAKE - loop.time())
-        server.close()
-        while loop.time() < began + END and engine.unfinished:
+        await server.close()
+        while loop.time() < began + END - LAST_ANSWERS and (engine.unfinished or server.unfinished):
+            await asyncio.sleep(LOOK)
+        server.end()
+        while loop.time() < began + END and (engine.unfinished or server.unfinished):
             await asyncio.sleep(LOOK)
 
     # What the handover asks
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -50,7 +50,7 @@
         client.overdue()
         assert await reader.read() == b""
         writer.close()
-        server.close()
+        await server.close()
         engine.notices.close()
 
     asyncio.run(main())
