Ids whose repeats are dropped for a while alone are known until their time is up

Cause: only ids of messages that must never run twice were remembered. One of a class whose destination drops repeats for 1 s, handed in again later (as clients do that heard nothing), was taken on as new and ran a second time.

Change: terms.never_harms: what is not simply repeatable is remembered, over restarts too, and answered with its end.

Measured: test_one_handed_in_again_after_its_delivery_runs_once[alarm], before and after its window and after a kill; it fails on the program before.

--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -30,7 +30,7 @@
 )
 from loftrelay.core.pulse import STALL, Pulse
 from loftrelay.core.steps import reached
-from loftrelay.core.terms import Accepted, may_repeat, unpack
+from loftrelay.core.terms import Accepted, may_repeat, never_harms, unpack
 from loftrelay.figures.registry import End, Figures, Gauges
 from loftrelay.net.address import Address
 from mulleinlead import interface as api
@@ -227,9 +227,9 @@
         """What an id is answered that this relay has, or had: a status, and when to come back (ms). None for
         a new one.
 
-        An unsafe message is known until its time is up, so that a client which heard nothing and hands it in
-        again under its id makes no second effect. One whose notice is out gets that same end: the notice may
-        have been heard already, and nothing would follow a 202."""
+        One that does harm when it runs again is known until its time is up, so that a client which heard
+        nothing and hands it in again under its id makes no second effect. One whose notice is out gets that
+        same end: the notice may have been heard already, and nothing would follow a 202."""
         if (held := self.journal.held.get(message)) is not None:
             if held.notice is None or self.lives.stage(message) in (Stage.CLOSING, Stage.UNTOLD):
                 return TAKEN, 0
@@ -408,7 +408,7 @@
         mend = self.record.recover(held, held.id, not may_repeat(held.terms))
         if mend in ("AGREE", "FORGET"):
             ended = {"delivered": DELIVERED, "failed": FAILED}.get(answer or "", 0)
-            self.journal.over(held.id, ended if not may_repeat(held.terms) else 0)
+            self.journal.over(held.id, ended if not never_harms(held.terms) else 0)
             return False
         if mend == "STORE" and held.notice is None:
             answer = "delivered"
@@ -559,7 +559,7 @@
 
     def _close(self, held: Held) -> None:
         """Delivered: nothing more is owed. The journal keeps it until the store of record has that."""
-        remembered = DELIVERED if not may_repeat(held.terms) else 0
+        remembered = DELIVERED if not never_harms(held.terms) else 0
         self.figures.ended(held.class_name, End.SUCCEEDED)
         if self.record is None:
             self.journal.over(held.id, remembered)
@@ -593,7 +593,7 @@
         held = self.journal.held.get(message)
         failed = held is not None and held.notice is not None and held.notice["status"] == "undeliverable"
         # A refusal promised that coming again does no harm: the id of one that was deferred is free again.
-        remembered = failed and held is not None and not may_repeat(held.terms)
+        remembered = failed and held is not None and not never_harms(held.terms)
         if held is not None:
             self.figures.ended(held.class_name, End.ABORTED if failed else End.DECLINED)
         self.lives.over(message)
--- a/loftrelay/core/terms.py
+++ b/loftrelay/core/terms.py
@@ -39,6 +39,12 @@
     return packed is not None and packed[0] in HARMLESS
 
 
+def never_harms(packed: Sequence[Any] | None) -> bool:
+    """Whether a message of these terms may run again at any time. Where a destination drops repeats, it does
+    so for a while alone: its id has to be known for as long as a client may hand it in again."""
+    return packed is not None and packed[0] == api.Effect.SAFE.name
+
+
 class Accepted:
     """The classes that messages may be handed in under: those in force, and for a while those dropped."""
 
--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -398,7 +398,7 @@
         return host, port
 
     def _listen(self, listening: socket.socket) -> None:
-        """By its own reader. Trouble: asyncio's server drops what it accepted in the pass before its close."""
+        """By its own reader: asyncio's server drops what it accepted in the pass before its close."""
         listening.setblocking(False)
         listening.listen(QUEUED)
         self.listening = listening
--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -2,7 +2,8 @@
 
 A record is its length and CRC-32 (8 bytes), a line of JSON and, when it tells a message, the body. A message
 is told whole when it is taken on and again when its segment is dropped, so the oldest segment can always go.
-The ids of unsafe messages that are over stand there, too, until their time is up, with how they ended.
+The ids of messages that are over and must not run again at any time stand there, too, until their time is
+up, with how they ended.
 Nothing is synced: what is written outlasts the process, which is all that is asked.
 """
 
@@ -69,7 +70,7 @@
         self.segments: dict[int, Segment] = {}
         self.homes: dict[str, tuple[int, int]] = {}  # message -> the segment that tells it, and its size
         self.told_in: dict[int, dict[str, None]] = {}  # segment -> the messages that it tells
-        self.past: dict[str, Past] = {}  # ids of unsafe messages that are over, until their time is up
+        self.past: dict[str, Past] = {}  # ids of messages that are over, until their time is up
         self.past_homes: dict[int, set[str]] = {}  # segment -> those that it tells
         self.past_due: list[tuple[int, str]] = []  # a heap
         self.bytes = 0  # in all segments
--- a/tests/fronts/http/test_clients.py
+++ b/tests/fronts/http/test_clients.py
@@ -7,6 +7,8 @@
 import os
 from pathlib import Path
 
+import pytest
+
 from tests.standins.platform import (
     HANG,
     SETTINGS,
@@ -39,6 +41,11 @@
     run(scenario, tmp_path)
 
 
+CLASSES = [
+    *SETTINGS["classes"],
+    {"name": "alarm", "effect": "deduplicated", "key_scope": "all", "window": 1_000_000,
+     "deadline": 24_000_000, "on_time": 3_000_000, "worth": 2},
+]  # fmt: skip
 BAD = [
     (message("m", path="/nowhere"), 404),
     (message("m", path="/status/a/b"), 404),
@@ -201,15 +208,17 @@
     run(scenario, tmp_path)
 
 
-def test_an_order_handed_in_again_after_its_delivery_runs_once(tmp_path: Path) -> None:
-    """Clients that got no answer in time do just that. Ten of ten ran twice when ended ids were forgotten."""
+@pytest.mark.parametrize("of", ["order", "alarm"])
+def test_one_handed_in_again_after_its_delivery_runs_once(tmp_path: Path, of: str) -> None:
+    """Clients that got no answer in time do just that. Ten of ten ran twice when ended ids were forgotten. An
+    alarm may be repeated, but not for longer than its window of 1 s: it is known, too."""
 
     async def scenario(w: World) -> None:
         host = await w.host(deliver)
         await w.start()
         names = [f"m{i}" for i in range(10)]
         for name in names:
-            assert await w.hand_in(name, "order", path=f"/order/{name}") == 202
+            assert await w.hand_in(name, of, path=f"/{of}/{name}") == 202
         await w.until(lambda: host.answered == 10)
         for _ in range(2):
             # The relay has read the last answer when it has delivered what came after it.
@@ -217,11 +226,12 @@
             assert await w.hand_in(f"after{before}", "order") == 202
             await w.until(lambda n=before: host.answered == n + 1)  # type: ignore[misc]
             for name in names:
-                assert await w.hand_in(name, "order", path=f"/order/{name}") == 200
+                assert await w.hand_in(name, of, path=f"/{of}/{name}") == 200
+            await asyncio.sleep(1.0 if of == "alarm" else 0.0)  # just before the window's end, and after it
             await w.restart()  # and it knows them then, too
         assert [host.ids.count(name) for name in names] == [1] * 10
 
-    run(scenario, tmp_path)
+    run(scenario, tmp_path, classes=CLASSES)
 
 
 def test_an_order_that_failed_is_answered_so_again_and_one_deferred_is_taken(tmp_path: Path) -> None:
