A relay of short deadlines has ended before it is killed

With the longest deadline set to 1.2, 2.0, 2.4 and 3.2 s in copies of the site, relays were ready again 2.72, 3.52, 3.92 and 4.51 s after SIGTERM (0.7 s of that are the pause and the start): the platform kills after the longest deadline and 0.8 s, 3.7 s at the most. Ruled out: a stalled process, a start that was late.

Change: core/last_phase.py (pure) divides that time by the settings in force; service.py goes by it.

--- /dev/null
+++ b/benchmarks/coldreturn.py
@@ -0,0 +1,98 @@
+"""Fleets at one destination that comes back cold, in virtual time: how often the sum of their calls tips it.
+
+A cold destination takes N calls in the span that the settings name; 2 x root of N + 2 more are put down to
+chance.
+Cases: few and many relays, thin and uneven traffic, demand under and over the limit, listed rates that are
+absent, right and wrong by half, outages that refuse and that hang, relays that have just started.
+"""
+
+from __future__ import annotations
+
+import itertools
+import multiprocessing
+import random
+import statistics
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from benchmarks.fleetmodel import Case, Fleet, over_budget
+from benchmarks.manyrelays import Make, earlier_brain
+from benchmarks.process import run
+from mulleinlead.brain import Brain
+from mulleinlead.interface import Result
+
+BEFORE = "1dd4122"
+
+FLEETS = (2, 5, 20, 30, 230)
+LOADS = (0.6, 0.9, 1.3)
+HINTS = (None, "nominal", "rough")
+made: Make = Brain
+
+
+def case(relays: int, load: float, hints: str | None, seed: int) -> Case:
+    """One return, all else drawn from the seed."""
+    draw = random.Random(f"{relays} {load} {hints} {seed}")
+    down = draw.uniform(4, 14)
+    began = draw.uniform(6, 12)
+    return Case(
+        relays=relays, limit=draw.uniform(6, 40), load=load, seconds=began + down + 14, hints=hints,
+        outage=(began, began + down), hangs=draw.random() < 0.5, cold=True, skew=draw.choice((0.0, 0.7, 1.4)),
+        killed=(began + down - draw.uniform(0, 2), 0.3) if draw.random() < 0.3 else None,
+        clumps=draw.choice((0.0, 0.2)), counted=draw.random() < 0.5, wait=draw.choice((0, 500_000)),
+        seed=seed,
+    )  # fmt: skip
+
+
+def play(told: tuple[int, float, str | None, int]) -> tuple[float, float]:
+    """How far the fullest span was over its budget, and what was delivered after the return over the limit
+    then."""
+    this = case(*told)
+    seen = Fleet(this, made).run()
+    assert this.outage is not None
+    back = this.outage[1]
+    served = seen.count(Result.OK, back, this.seconds) / (this.limit * (this.seconds - back))
+    return over_budget(seen, this), served
+
+
+def prepare(commit: str | None) -> None:
+    """In each process of the pool."""
+    global made
+    if commit is not None:
+        with tempfile.TemporaryDirectory() as folder:
+            earlier = earlier_brain(Path(folder), commit)
+        assert earlier is not None
+        made = earlier
+
+
+def figures(fleets: Sequence[int], seeds: int, commit: str | None = None) -> dict[str, Any]:
+    """For each size of fleet: the share of returns that tip, how far over the ninth in ten is, what is
+    served."""
+    grid = list(itertools.product(fleets, LOADS, HINTS, range(1, seeds + 1)))
+    with multiprocessing.Pool(initializer=prepare, initargs=(commit,)) as pool:
+        rows = pool.map(play, grid, chunksize=1)
+    result: dict[str, Any] = {}
+    for relays in fleets:
+        mine = [row for told, row in zip(grid, rows, strict=True) if told[0] == relays]
+        overs = sorted(over for over, _ in mine)
+        result[str(relays)] = {
+            "returns": len(mine),
+            "tipped": round(sum(over > 1 for over in overs) / len(mine), 3),
+            "over_9th_decile": round(overs[len(overs) * 9 // 10], 2),
+            "served": round(statistics.mean(served for _, served in mine), 3),
+        }
+    return result
+
+
+async def measure(quick: bool) -> dict[str, Any]:
+    seeds = 2 if quick else 20
+    result: dict[str, Any] = {"before_commit": BEFORE, "now": figures(FLEETS, seeds)}
+    with tempfile.TemporaryDirectory() as folder:
+        if earlier_brain(Path(folder), BEFORE) is not None:
+            result["before"] = figures(FLEETS, seeds, BEFORE)
+    return result
+
+
+if __name__ == "__main__":
+    run("coldreturn", __doc__, measure)
--- a/benchmarks/fleetmodel.py
+++ b/benchmarks/fleetmodel.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -45,6 +46,9 @@
     wait: int = 0  # told with a refusal; 0: none
     lowered: tuple[float, float, float] | None = None  # from, to, and the part of the limit that is left
     outage: tuple[float, float] | None = None  # from, to: no connection comes up; cold after
+    hangs: bool = False  # during the outage calls are taken and not answered
+    cold: bool = False  # after it the limit is what a cold destination takes
+    hints: str | None = None  # listed rates of the destination: "nominal", "rough" or none
     killed: tuple[float, float] | None = None  # when, and the part of the relays; they are back 2 s later
     endpoints: int = 2
     slots: int = 4
@@ -106,6 +110,7 @@
         self.tries: dict[str, int] = {}
         self.number = 0
         self.starts = 0
+        self.rough = random.Random(-case.seed).uniform(0.5, 1.5)
         self.gone: dict[int, int] = {}  # until when a relay is away
         self.lives: dict[int, int] = {}
         given = [self.random.lognormvariate(0, case.skew) for _ in range(case.relays)]
@@ -125,7 +130,9 @@
 
     def _make(self, relay: int) -> Decider:
         hosts = [f"host-{n}" for n in range(self.case.endpoints)]
-        entries = tuple(api.Entry(name, 1, api.State.LISTED, "here", "kind", None) for name in hosts)
+        rate = {"nominal": 1.0, "rough": self.rough}.get(self.case.hints or "")
+        told = rate and rate * self.case.limit
+        entries = tuple(api.Entry(name, 1, api.State.LISTED, "here", "kind", told) for name in hosts)
         self._post(relay, api.Listing(api.Form.FULL, entries))
         return self.make(self.case.seed * 1000 + relay + self.starts * 100, self._settings())
 
@@ -165,6 +172,7 @@
                 "safety": {"cold": COLD, "cold_from": COLD_FROM, "fall_multiple": MULTIPLE,
                            "tip_after": TIP, "settle_after_doubt": 300_000},
                 "peers_total": self.case.relays if self.case.told_relays else None,
+                "weight_kind": self.case.hints or "silent",
                 "tick": 1000,
             }
         )  # fmt: skip
@@ -188,10 +196,12 @@
         if not events:
             return
         calls: dict[str, list[str]] = {}
+        timeouts: dict[str, int] = {}
         for action in self.relays[relay].handle(self.now, events):
             match action:
-                case api.Send(message, endpoint):
+                case api.Send(message, endpoint, timeout):
                     calls.setdefault(endpoint, []).append(message)
+                    timeouts[endpoint] = max(timeout, timeouts.get(endpoint, 0))
                 case api.SetTimer(delay, token):
                     self._at(self.now + delay, lambda t=token: self._post(relay, api.Timer(t)))  # type: ignore[misc]
                 case api.Refuse(message, _):
@@ -201,7 +211,7 @@
                     self.told.ended[message] = self.now
         for endpoint, names in calls.items():
             for first in range(0, len(names), self.case.bundle):
-                self._call(relay, endpoint, names[first : first + self.case.bundle])
+                self._call(relay, endpoint, names[first : first + self.case.bundle], timeouts[endpoint])
 
     # Clients
 
@@ -236,18 +246,22 @@
         since = (now - START) / SECOND
         if self.case.lowered is not None and self.case.lowered[0] <= since < self.case.lowered[1]:
             return self.case.limit * self.case.lowered[2]
+        if self.case.cold and self.case.outage is not None and since >= self.case.outage[1]:
+            return self.case.limit * warmth(since - self.case.outage[1])
         return self.case.limit
 
     def down(self, now: int) -> bool:
         out, since = self.case.outage, (now - START) / SECOND
         return out is not None and out[0] <= since < out[1]
 
-    def _call(self, relay: int, endpoint: str, names: list[str]) -> None:
+    def _call(self, relay: int, endpoint: str, names: list[str], timeout: int) -> None:
         sent, life = self.now, self.lives.get(relay, 0)
         self.told.sends.append((sent, relay, len(names)))
 
         def arrive() -> None:
-            if self.down(self.now):
+            if self.down(self.now) and self.case.hangs:
+                result, took = api.Result.TIMEOUT, max(0, timeout - WAY)
+            elif self.down(self.now):
                 result, took = api.Result.NO_CONNECTION, 2 * WAY
             elif self._takes():
                 result, took = api.Result.OK, WAY + int(self.random.expovariate(1 / SERVICE))
@@ -283,6 +297,27 @@
         return False
 
 
+def warmth(since: float) -> float:
+    """The part of its limit that a destination takes so many seconds after its return."""
+    return COLD_FROM + (1 - COLD_FROM) * min(1.0, since * SECOND / COLD)
+
+
+def over_budget(told: Told, case: Case) -> float:
+    """The fullest span of TIP after the return: its calls beyond the budget N, in units of 2 x root of N + 2,
+    which are put down to chance. Over 1 a cold destination falls."""
+    assert case.outage is not None
+    back = START + int(case.outage[1] * SECOND)
+    recent: deque[int] = deque()
+    worst = -math.inf
+    for at in sorted(at for at, _, _ in told.calls if back <= at < back + COLD):
+        recent.append(at)
+        while recent[0] <= at - TIP:
+            recent.popleft()
+        budget = MULTIPLE * case.limit * warmth((at - back) / SECOND) * TIP / SECOND
+        worst = max(worst, (len(recent) - budget) / (2 * math.sqrt(budget) + 2))
+    return worst
+
+
 def over_capacity(told: Told, case: Case) -> float:
     """Of a destination that is back: the most calls in any span of TIP, over what it then takes."""
     assert case.outage is not None
--- a/benchmarks/manyrelays.py
+++ b/benchmarks/manyrelays.py
@@ -25,9 +25,9 @@
 Make = Callable[[int, Settings], Decider]
 
 
-def earlier_brain(folder: Path) -> Make | None:
+def earlier_brain(folder: Path, commit: str = BEFORE) -> Make | None:
     """The module of that commit; None where the history is not at hand."""
-    if earlier_program(BEFORE, folder) is None:
+    if earlier_program(commit, folder) is None:
         return None
     spec = importlib.util.spec_from_file_location("brain_before", folder / "mulleinlead" / "brain.py")
     assert spec is not None and spec.loader is not None
--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -12,6 +12,7 @@
 from loftrelay.app import build
 from loftrelay.config import Config, ConfigError, reload
 from loftrelay.core.engine import Engine
+from loftrelay.core.last_phase import last_phase
 from loftrelay.core.steps import reached
 from loftrelay.delivery.pools import Limits
 from loftrelay.fronts.control.relay import Relay
@@ -31,10 +32,6 @@
 
 log = logging.getLogger("loftrelay")
 
-# After SIGTERM, in seconds: calls are begun until, messages taken on until, the process ends at the latest.
-# Clients have nowhere else to go before the restart, so they are served for as long as there is time.
-BEGIN, TAKE, END = 2.8, 3.45, 3.6
-LAST_ANSWERS = 0.06  # before that end: who has no answer by then gets one, and is left this long to read it
 LOOK = 0.02  # seconds between looks at what is still out
 CATCH_UP = 1.0  # seconds at the most for which a start tells what ran out of time, before it is ready
 
@@ -155,8 +152,9 @@
             await self._end_in_order(server, began)
         else:
             assert self.giver is not None
+            end = began + last_phase(engine.settings.classes.values()).end
             while engine.delivery.busy or self.giver.unfinished:
-                if asyncio.get_running_loop().time() >= began + END:
+                if asyncio.get_running_loop().time() >= end:
                     break
                 await asyncio.sleep(LOOK)
         held = f"{len(journal.held)} messages in its journal" if self.owns else "nothing of its own"
@@ -228,16 +226,17 @@
 
     async def _end_in_order(self, server: Server, began: float) -> None:
         loop, engine = asyncio.get_running_loop(), server.engine
+        phase = last_phase(engine.settings.classes.values())
         server.stopping = True
-        await asyncio.sleep(BEGIN)
+        await asyncio.sleep(began + phase.begin - loop.time())
         engine.hold()
         log.info("%s begins no more calls", self.config.name)
-        await asyncio.sleep(began + TAKE - loop.time())
+        await asyncio.sleep(began + phase.take - loop.time())
         await server.close()
-        while loop.time() < began + END - LAST_ANSWERS and (engine.unfinished or server.unfinished):
+        while loop.time() < began + phase.answer and (engine.unfinished or server.unfinished):
             await asyncio.sleep(LOOK)
         server.end()
-        while loop.time() < began + END and (engine.unfinished or server.unfinished):
+        while loop.time() < began + phase.end and (engine.unfinished or server.unfinished):
             await asyncio.sleep(LOOK)
 
     # What the handover asks
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -32,6 +32,7 @@
     "core/pulse.py",
     "core/message.py",
     "core/life.py",
+    "core/last_phase.py",
     "core/terms.py",
     "core/handover.py",
     "upgrade/rules.py",
