Restarts and descriptors: crossings forced, and the system's own limit is heeded

Change: tests/program/test_recovered.py (untried messages of each class with half, a tenth and little of their time after SIGTERM and SIGKILL; those that may have run, of each effect, inside and after a window of 1 s; batches out with every second host hanging; an id that comes again at once here and elsewhere; 60,000 old records and a full share of the disk: ready in time). Idle clients fill the descriptors while discovery is down. config.py goes by RLIMIT_NOFILE where that is lower than what is told; a look at a socket for which no descriptor is left no longer raises.

--- a/loftrelay/config.py
+++ b/loftrelay/config.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import os
+import resource
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
@@ -120,7 +121,8 @@
 def _config(environ: Mapping[str, str], told: Mapping[str, Any], path: str, fleet: bool) -> Config:
     limits = told.get("limits", {})
     try:
-        sockets = int(limits.get("sockets", 1024))
+        # What the platform tells, and what the system lets this process have.
+        sockets = min(int(limits.get("sockets", 1024)), resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         control = environ.get("RELAY_CONTROL") or told.get("control")
         listen = parse_address(environ.get("RELAY_LISTEN") or told["listen"])
         discovery = parse_address(environ.get("RELAY_DISCOVERY") or told["discovery"])
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -65,11 +65,11 @@
     poll.register(number, select.POLLIN)
     if not poll.poll(0):
         return None
-    with socket.socket(fileno=os.dup(number)) as same:
-        try:
+    try:
+        with socket.socket(fileno=os.dup(number)) as same:
             return what_is(same.recv(len(START), socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return Unasked.END
+    except OSError:  # also where no descriptor is left for the look
+        return Unasked.END
 
 
 class Connection(asyncio.Protocol):
--- a/tests/membership/test_told_in_time.py
+++ b/tests/membership/test_told_in_time.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import resource
 import socket
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 
-from tests.standins.platform import Peer, Request, World, deliver, never, reply, run
+from tests.standins.platform import SETTINGS, Peer, Request, World, deliver, never, reply, run
 
 TOLD = 6.0  # seconds
 DOWN = 3.0  # for which discovery fails, long enough for the longest pause between calls
@@ -142,6 +143,45 @@
     run(scenario, tmp_path)
 
 
+def test_idle_clients_fill_the_descriptors_while_discovery_is_down(tmp_path: Path) -> None:
+    """Discovery, notices, hosts and the journal still get theirs, and a new request gets an answer."""
+
+    async def scenario(w: World) -> None:
+        async def fail(request: Request) -> bytes | None:
+            return reply(500)
+
+        await w.host(deliver)
+        await w.host(fail, dest=3)
+        w.limits["sockets"] = 100
+        await w.start()
+        assert w.process is not None and w.discovery.server is not None
+        resource.prlimit(w.process.pid, resource.RLIMIT_NOFILE, (100, 100))
+        port = w.discovery.server.sockets[0].getsockname()[1]
+        w.discovery.server.close()
+        w.discovery.close_connections()
+        idle = [await asyncio.open_connection(*w.address) for _ in range(300)]
+        filling = asyncio.create_task(keep_full(w, idle))
+        assert await w.hand_in("failed", "order", dest=3) == 202
+        await asyncio.sleep(DOWN)
+        await w.discovery.start(port)
+        since = asyncio.get_running_loop().time()
+        await goes_by_it(w, since, *await change(w))
+        await w.until(lambda: [notice["id"] for notice in w.notices] == ["failed"])
+        filling.cancel()
+        for _, writer in idle:
+            writer.close()
+        assert not any("Too many open files" in line for line in w.log)
+
+    run(scenario, tmp_path, policy_limits={**SETTINGS["policy_limits"], "most_tries": 1})
+
+
+async def keep_full(w: World, idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]) -> None:
+    """Whoever the relay ends comes again, and says nothing."""
+    while True:
+        idle.append(await asyncio.open_connection(*w.address))
+        await asyncio.sleep(0.01)
+
+
 @pytest.mark.parametrize("fault", [silent, unavailable, reset, half], ids=lambda fault: fault.__name__)
 def test_a_reload_moves_discovery_while_it_fails(tmp_path: Path, fault: Fault) -> None:
     """And the first call at the new address fails, too."""
--- /dev/null
+++ b/tests/program/test_recovered.py
@@ -0,0 +1,176 @@
+"""What a restart finds: tried where it was not, failed where it may have run, in time for those who wait."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from pathlib import Path
+
+import pytest
+
+from loftrelay.core.clock import wall_clock
+from loftrelay.core.message import Held
+from loftrelay.core.terms import pack
+from loftrelay.journal.journal import Journal
+from mulleinlead.interface import Effect, MessageClass
+from tests.standins.platform import SETTINGS, Request, World, deliver, failed, never, reply, run
+
+ALARM = {
+    "name": "alarm", "effect": "deduplicated", "key_scope": "all", "window": 1_000_000,
+    "deadline": 24_000_000, "on_time": 3_000_000, "worth": 2,
+}  # fmt: skip
+CLASSES = [*SETTINGS["classes"], ALARM]
+READY = 10.0  # seconds within which nine in ten restarted processes are ready
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_untried_messages_are_tried_however_little_time_they_have(
+    tmp_path: Path, number: signal.Signals
+) -> None:
+    """With half, a tenth and nearly none of their time left, of each class, beside each other in one call."""
+
+    async def scenario(w: World) -> None:
+        w.name(kind="bulk")
+        await w.start()
+        assert w.process is not None
+        down = 3.6 if number is signal.SIGTERM else 0.0
+        for of in ("status", "order", "alarm"):
+            for left in (0.8, 2.0, 9.0):
+                timeout = str(int((down + left + 1.5) * 1000))
+                path = f"/{of}/{of}-{left}"
+                name = f"{of}-{left}"
+                assert await w.hand_in(name, of, path=path, Request_Timeout_Ms=timeout) == 202
+        await w.end(number)
+        w.members.clear()
+        host = await w.host(deliver, kind="bulk")
+        await w.start()
+        wanted = {f"{of}-{left}" for of in ("status", "order", "alarm") for left in (0.8, 2.0, 9.0)}
+
+        def tried() -> set[str]:
+            return {row["id"] for request in host.requests for row in json.loads(request.body)}
+
+        await w.until(lambda: wanted <= tried() | {notice["id"] for notice in w.notices})
+        # On a machine so busy that the start takes longer than the least of them has, that one may be late.
+        assert {name for name in wanted if not name.endswith("0.8")} <= tried()
+
+    run(scenario, tmp_path, classes=CLASSES)
+
+
+@pytest.mark.parametrize(
+    ("of", "window", "goes"),
+    [("status", 1, True), ("order", 1, False), ("alarm", 60, True), ("alarm", 1, False)],
+)
+def test_one_that_may_have_run(tmp_path: Path, of: str, window: int, goes: bool) -> None:
+    """Of each effect, inside its window and after one of 1 s."""
+
+    async def scenario(w: World) -> None:
+        host = await w.host(never)
+        await w.start()
+        assert await w.hand_in("m", of) == 202
+        await w.until(lambda: host.ids == ["m"])
+        await w.kill()
+        host.script = deliver
+        await asyncio.sleep(1.0)
+        await w.start()
+        if goes:
+            await w.until(lambda: host.ids == ["m", "m"])
+        else:
+            await w.until(lambda: w.notices == [failed("m")])
+            assert host.ids == ["m"]
+
+    alarm = {**ALARM, "window": window * 1_000_000}
+    run(scenario, tmp_path, classes=[*SETTINGS["classes"], alarm])
+
+
+@pytest.mark.parametrize("number", [signal.SIGKILL, signal.SIGTERM])
+def test_with_batches_out_and_every_second_host_hanging(tmp_path: Path, number: signal.Signals) -> None:
+    """Each message has one end, and what must not run twice runs once."""
+
+    async def scenario(w: World) -> None:
+        runs: list[str] = []
+
+        async def works(request: Request) -> bytes | None:
+            ids = [row["id"] for row in json.loads(request.body)]
+            runs.extend(ids)
+            w.bump()
+            await asyncio.sleep(0.02)
+            return reply(200, json.dumps([{"id": name, "state": "delivered"} for name in ids]).encode())
+
+        async def hangs(request: Request) -> bytes | None:
+            runs.extend(row["id"] for row in json.loads(request.body))
+            w.bump()
+            return await never(request)
+
+        for i in range(4):
+            await w.host(hangs if i % 2 else works, dest=1 + i // 2, kind="bulk")
+        await w.start()
+        assert w.process is not None
+        taken = []
+        for i in range(40):
+            of = ("order", "status")[i % 2]
+            if await w.hand_in(f"{of}{i}", of, 1 + i // 2 % 2, path=f"/{of}/{of}{i}") == 202:
+                taken.append(f"{of}{i}")
+        await w.until(lambda: len(runs) >= 4)
+        await w.end(number)
+        for host in w.peers:
+            if host.script is hangs:
+                host.script = works
+        await w.start()
+        await w.until(lambda: set(taken) <= set(runs) | {notice["id"] for notice in w.notices})
+        orders = [name for name in taken if name.startswith("order")]
+        assert all(runs.count(name) <= 1 for name in orders)
+        assert all(notice["status"] == "undeliverable" for notice in w.notices)
+
+    run(scenario, tmp_path)
+
+
+def test_a_client_comes_again_at_once_at_the_same_relay_and_at_another(tmp_path: Path) -> None:
+    """An id that one relay has is taken on there once, over its restart too; another knows nothing of it."""
+
+    async def scenario(w: World) -> None:
+        w.name()
+        await w.start()
+        assert await w.hand_in("m", "order") == 202
+        await w.kill()
+        await w.start()
+        assert await w.hand_in("m", "order") == 202
+        (tmp_path / "other").mkdir()
+        async with World(tmp_path / "other") as other:
+            there = await other.host(deliver)
+            await other.start()
+            assert await other.hand_in("m", "order", Client_Retry="again") == 202
+            await other.until(lambda: there.ids == ["m"])
+        w.members.clear()
+        host = await w.host(deliver)
+        await w.until(lambda: host.ids == ["m"])
+        assert await w.hand_in("after", "order") == 202
+        await w.until(lambda: host.ids == ["m", "after"])
+
+    run(scenario, tmp_path)
+
+
+def test_ready_in_time_with_sixty_thousand_old_records_and_a_full_share(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        w.limits["disk_mb"] = 40
+        about = MessageClass("order", Effect.UNSAFE, None, None, 3_000_000, 600_000_000, 3.0, 0.5, True)
+        (tmp_path / "state").mkdir()
+        journal = Journal(tmp_path / "state", 36_000_000)
+        now = wall_clock()
+        for i in range(60_000):
+            held = Held(f"old{i}", 0, "order", "acme", 1, f"key{i % 50}", now, now + 600_000_000, b"x" * 99)
+            held.terms = pack(about, 12)
+            journal.take(held)
+            journal.over(held.id, 200)
+        journal.close()
+        full = tmp_path / "state" / "other"
+        full.write_bytes(b"\0" * (w.limits["disk_mb"] * 1_000_000 - journal.size()))
+        host = await w.host(deliver)
+        began = time.monotonic()
+        await w.start()
+        assert await w.hand_in("old59999", "order") == 200  # it is known
+        assert time.monotonic() - began < READY
+        assert not host.requests
+
+    run(scenario, tmp_path)
