The ramp after an outage holds for fleets of thin relays; a restart bundles with care

Cause: (model, benchmarks.coldreturn) of 230 relays most saw one call fail or two, which was no outage to them, and went on at their own pace or retried after 4 s at the most: up to five times the chance allowed above the budget.

Change: where a cold window holds less than one call of a relay's part, one failure is an outage, with trials no further apart than 4 s x relays / 4; after a hung call a sibling that never answered is no sign of a sound destination; calls are guessed to take 0.2 s until one was seen.

--- a/benchmarks/coldreturn.py
+++ b/benchmarks/coldreturn.py
@@ -37,7 +37,8 @@
     down = draw.uniform(4, 14)
     began = draw.uniform(6, 12)
     return Case(
-        relays=relays, limit=draw.uniform(6, 40), load=load, seconds=began + down + 14, hints=hints,
+        relays=relays, limit=draw.choice((draw.uniform(6, 40), relays * draw.uniform(0.2, 1.0) + 4)),
+        load=load, seconds=began + down + 14, hints=hints,
         outage=(began, began + down), hangs=draw.random() < 0.5, cold=True, skew=draw.choice((0.0, 0.7, 1.4)),
         killed=(began + down - draw.uniform(0, 2), 0.3) if draw.random() < 0.3 else None,
         clumps=draw.choice((0.0, 0.2)), counted=draw.random() < 0.5, wait=draw.choice((0, 500_000)),
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -30,6 +30,7 @@
 # Time-outs: usual call time + PATIENCE deviations, inside these bounds; unsafe messages cannot go again.
 PATIENCE, LEAST_TIMEOUT, FIRST_TIMEOUT, UNSAFE_PATIENCE = 6, SECOND, 3 * SECOND, 3
 SCARCE_TIMEOUT = 6 * SECOND // 10  # the least one for the last free slot
+GUESSED_CALL = SECOND // 5  # how long one takes, before any was seen
 BUNDLE_PATIENCE = 4  # deviations that a message must live longer than a usual call, to share one
 RATE_SPAN = 10 * SECOND  # memory of arrivals, calls to an endpoint, resets
 DEMAND_SPAN, LEAST_SPAN = 60 * SECOND, 2 * SECOND  # memory of the demand that this relay was given
@@ -38,6 +39,7 @@
 # Growth and step are those of one relay alone. Refused calls settle where growth and cuts balance, whatever
 # the limit: at one in five, all lost to the fleet where they use the limit up. So many relays halve it.
 CROWD = 20
+FEW_RELAYS = 4  # that may each ask a sick destination once in LONGEST_PAUSE
 EXTRA_WEIGHT = 0.25  # of each further message in a bundle, in the budget of a cold destination
 OUTAGE_STREAK, OUTAGE_ERRORS = 2 * SECOND, 0.6  # no success for so long, or most calls failing: an outage
 MANY_STRAYS = 3  # failures in a row that tell of a connection: only then the destination is held to fail
@@ -554,8 +556,11 @@
             # Rule 'fail-back': a returning destination gets a budget over every window that could tip it.
             room, spent = self._cold_room(gate, destination), sum(w for _, w in gate.sends)
             if room < 1:
-                # Trouble: one call a window from each of two hundred relays tips what comes back.
-                return max(opens, gate.last_send + int(gate.spread * self.tip_after / max(room, 1e-6)))
+                # Trouble: one call a window from each of two hundred relays tips what comes back. Few may ask
+                # now and then, however little each was given.
+                longest = LONGEST_PAUSE * max(1.0, self.relays / FEW_RELAYS)
+                gap = min(self.tip_after / max(room, 1e-6), longest)
+                return max(opens, gate.last_send + int(gate.spread * gap))
             for at, weight in gate.sends:
                 if spent + 1 <= room or spent == 0:
                     break
@@ -652,7 +657,10 @@
     def _lasts(self, message: Message, endpoint: Endpoint) -> bool:
         """Whether it lives until a call is answered that takes rather long."""
         times = self._times(endpoint)
-        return message.deadline - self.now >= times.usual + BUNDLE_PATIENCE * times.deviation
+        # Trouble: after a restart nothing is known of call times, and a recovered message with 30 ms left
+        # took unsafe ones with it that had half of their time.
+        usual, deviation = times.usual or GUESSED_CALL, times.deviation or GUESSED_CALL / 2
+        return message.deadline - self.now >= usual + BUNDLE_PATIENCE * deviation
 
     def _bundle_room(self, endpoint: Endpoint) -> int:
         """How many messages a call to this endpoint may carry now."""
@@ -666,7 +674,7 @@
 
     def _cost(self, endpoint: Endpoint) -> tuple[bool, float]:
         """Drawn where this relay sees too little: relays that all take the quickest flood that one."""
-        usual = endpoint.usual or self._times(endpoint).usual or SECOND / 5
+        usual = endpoint.usual or self._times(endpoint).usual or GUESSED_CALL
         weight = SECOND / (usual * (1 + endpoint.in_flight))
         if endpoint.gate is endpoint.destination.gate or not endpoint.rate:
             weight *= weight
@@ -909,6 +917,7 @@
         gate.narrowed_at = self.now
         gate.window /= 2
         own = self._own_rate(gate, endpoint.destination)
+        unmet = event.result is Result.NO_CONNECTION
         if full:
             # Trouble: held against messages a second, the pace of full bundles rose with each refusal. Demand
             # asks for so many calls at the least; small bundles take more, and get them as calls succeed.
@@ -916,12 +925,13 @@
             seen = max((len(gate.sends) - 1) * SECOND / self.tip_after, need)
             gate.pace = max(min(gate.pace, seen) * PACE_CUT, need * PACE_FLOOR)
             gate.window = min(gate.window, 0.5)
-        elif any(e.failures == 0 for e in siblings):
-            gate.window = max(1.0, gate.window)  # one endpoint of several: the others go on
+        elif any(e.failures == 0 and (e.usual or unmet) for e in siblings):
+            # One endpoint of several: the others go on. One that never answered proves nothing of a hang.
+            gate.window = max(1.0, gate.window)
         if gate.window < 1:
             # Below one call the window becomes a pause: limits without told waits, shut, silent or failing.
             # A call that found no connection cost its host nothing, so that such trials come closer together.
-            longest = LONGEST_PAUSE // 2 if event.result is Result.NO_CONNECTION else LONGEST_PAUSE
+            longest = LONGEST_PAUSE // 2 if unmet else LONGEST_PAUSE
             pause = min(int(BASE * 0.5 / gate.window), longest)
             if full:
                 # Trouble: relays that all come back when told keep a counted limit empty: waits stretch.
@@ -936,7 +946,11 @@
         # Lost calls strewn among good ones are no outage; refusals take twice as long to mean 'shut'.
         gate.all_full = full and (gate.all_full or gate.failures == 1)
         lasting = self.now - gate.failing_since >= OUTAGE_STREAK * (1 + gate.all_full)
-        streak = gate.failures >= 2 and lasting
+        # Trouble: of two hundred relays half saw one call fail or two, held that for no outage, and went on
+        # at their own pace as the destination came back. Where a cold window holds less than one call of
+        # this relay's part, one failure is all that it may ever see.
+        thin = not full and own * self.multiple * self.cold_from * self.tip_after < SECOND
+        streak = (gate.failures >= 2 and lasting) or thin
         if not gate.outage and gate.window < 1 and (streak or gate.errors > OUTAGE_ERRORS):
             gate.outage, gate.cold_since = True, None
             self.actions.append(
--- a/tests/mulleinlead/test_many_relays.py
+++ b/tests/mulleinlead/test_many_relays.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from benchmarks.fleetmodel import Case, Fleet, over_capacity
+from benchmarks.coldreturn import HINTS, LOADS, case
+from benchmarks.fleetmodel import Case, Fleet, over_budget, over_capacity
 from mulleinlead.interface import Result
 
 SEEDS = (1, 2, 3)
@@ -47,6 +48,27 @@
     assert told.count(Result.OK, 20, 30) > 0.6 * 10 * case.limit
 
 
+@pytest.mark.parametrize("relays", [2, 20, 30])
+@pytest.mark.parametrize("load", LOADS)
+def test_the_ramp_after_an_outage_holds_for_the_fleet(relays: int, load: float) -> None:
+    """A cold destination falls under the sum of all calls, N + 2 x root of N + 2 in a window. Outages that
+    refuse and that hang, listed rates that are none, right and wrong, relays that have just started."""
+    for hints in HINTS:
+        for seed in range(1, 4):
+            returning = case(relays, load, hints, seed)
+            assert over_budget(Fleet(returning).run(), returning) < 1, (hints, seed)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_hundred_relays_that_each_saw_one_call_fail_come_back_gently(seed: int) -> None:
+    """Seen in the model: held for no outage by most, they sent twice the budget and more in one window."""
+    thin = Case(
+        relays=230, limit=39.0, load=0.9, outage=(9.0, 18.0), cold=True, counted=False, clumps=0.0, skew=0.0,
+        seed=seed,
+    )  # fmt: skip
+    assert over_budget(Fleet(thin).run(), thin) < 1
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 def test_lost_machines_that_come_back_together_do_not_choke_a_limit(seed: int) -> None:
     """A guard: the module before delivered more there (0.97 of what is offered), and passes it as well."""
--- a/tests/mulleinlead/test_ordinary_path.py
+++ b/tests/mulleinlead/test_ordinary_path.py
@@ -233,3 +233,15 @@
         d.submit("m", after=600 * S)
         d.outcome("m", api.Result.NO_CONNECTION)
         assert sends(d.run(15 * S)) == ["m"]
+
+
+def test_after_a_restart_one_near_its_end_takes_no_unsafe_ones_with_it() -> None:
+    """Seen: sent in one call with one that had 30 ms left, and given up with it at half of its time."""
+    d = Driver(entry("a", kind="bundled"))
+    near, order = (
+        api.Recovered(api.Submit(name, 1, of, None, left, None), S, 0, None, None, ended=False)
+        for name, of, left in (("near", "keyed", 30 * MS), ("order", "unsafe", S))
+    )
+    d.feed(near, order)
+    calls = {name: d.brain.messages[name].call for name in ("near", "order")}
+    assert calls["near"] is not calls["order"] and any(calls.values())
