Answers in the instant of a message's end: single calls are given up 20 ms before, too

The relay took it for delivered and sent the next of its key; the platform counts no answer after that time. It is what batches did, and explains the batches that were not counted. Lines at fault: Engine._call gave single calls no margin, and Connection._expire accepts what is read after the time. Ruled out: copies of answers, clients that went, restarts, ids handed in twice.

Change: the margin of 20 ms holds for every call, and the module begins none with less left; an answer that a late loop reads after the time is followed by a notice, which does no harm where the answer counted. After a stall it is believed, as before.

--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -44,9 +44,10 @@
 # Seconds for which what was decided may wait for the store of record: whatever comes meanwhile, and while its
 # destination told of nothing but success.
 LONGEST_INTENT, LONGEST_CALM_INTENT = 0.1, 1.0
-# Microseconds before the first of its messages has had its time at which a batch call is given up. Trouble:
-# answers that came up to 0.1 s after it were believed, and the platform counted none of their messages.
-BATCH_MARGIN = 20_000
+# Microseconds before the first of its messages has had its time at which a call is given up. Trouble: answers
+# of batches that came up to 0.1 s after it, and of single calls up to 2 ms after it, were believed, and the
+# platform counted none of them: messages were lost, and the next of their keys were sent too soon.
+ANSWER_MARGIN = 20_000
 LATE_MS = 20  # before an attempt whose intent came late is decided anew
 # Passes of the loop after a stall before anything is decided: all that came meanwhile is read in the first,
 # who waits for it runs in the second, and has told the engine by the third.
@@ -532,6 +533,13 @@
             self.away.ended(held.id, host, ending)
             return
         now = self._clock()
+        known = self.brain.messages.get(held.id)
+        if ending.over and not ending.late and known is not None and now >= known.deadline:
+            # A loop that is a little late reads an answer when its message has had its time. Nobody knows
+            # whether the platform counts it; a notice does no harm if it does. After a stall the answer has
+            # come long since, and is believed.
+            log.info("%s was answered too late to be sure that it counts", held.id)
+            ending = replace(ending, over=False, expired=True)
         sent_at = self.lives.back(held.id)
         attempt = held.attempts - 1
         unsent = ending.stale or ending.held
@@ -692,7 +700,7 @@
             self.lives.send(held.id, self.now)
         # By the module's clock, which does not step, and as of now: a turn may have taken long.
         ends = min(self.brain.messages[held.id].deadline for held in messages)
-        left = ends - self._clock() - (BATCH_MARGIN if batch else 0)
+        left = ends - self._clock() - ANSWER_MARGIN
         timeout = max(0, min(left, max(send.timeout for send in sends)))
         limits = [send.most_idle for send in sends if send.most_idle is not None]
         unsafe = any(not may_repeat(held.terms) for held in messages)
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -31,6 +31,7 @@
 PATIENCE, LEAST_TIMEOUT, FIRST_TIMEOUT, UNSAFE_PATIENCE = 6, SECOND, 3 * SECOND, 3
 SCARCE_TIMEOUT = 6 * SECOND // 10  # the least one for the last free slot
 GUESSED_CALL = SECOND // 5  # how long one takes, before any was seen
+LEAST_CALL = SECOND // 50  # a call with less time left is not begun: it is given up so long before the end
 BUNDLE_PATIENCE = 4  # deviations that a message must live longer than a usual call, to share one
 RATE_SPAN = 10 * SECOND  # memory of arrivals, calls to an endpoint, resets
 DEMAND_SPAN, LEAST_SPAN = 60 * SECOND, 2 * SECOND  # memory of the demand that this relay was given
@@ -453,7 +454,8 @@
         """The last moment at which a call of usual length can still be answered in time."""
         to = message.destination
         usual = to.gate.times.usual or max((e.usual for e in to.endpoints), default=0)
-        return message.deadline - int(min(usual, (message.deadline - message.arrived) / 4)) - 1
+        least = max(LEAST_CALL, min(usual, (message.deadline - message.arrived) / 4))
+        return message.deadline - int(least) - 1
 
     def _ring_alarms(self) -> None:
         while self.alarms and self.alarms[0][0] <= self.now:
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -126,10 +128,11 @@
 
 
 @pytest.mark.parametrize("batch", [True, False])
-def test_a_batch_call_is_given_up_before_the_first_of_its_messages_has_had_its_time(
+def test_a_call_is_given_up_before_the_first_of_its_messages_has_had_its_time(
     tmp_path: Path, batch: bool
 ) -> None:
-    """The platform counts none of what an answer after that time calls delivered."""
+    """The platform counts none of what an answer after that time calls delivered. Seen of single calls, too:
+    answers 0 to 2 ms after it were believed, and four messages lost in 70 days."""
 
     async def main() -> None:
         engine = make_engine(tmp_path)
@@ -147,14 +150,45 @@
         engine._call("h", sends, batch)
         gone = (wall_clock() - now) / 1e6
         assert len(given) == 1
-        most = 1.98 if batch else 2.0
-        assert most - gone <= given[0].timeout <= most
+        assert 1.98 - gone <= given[0].timeout <= 1.98
         engine.notices.close()
         engine.delivery.close()
 
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("late", [True, False])
+def test_an_answer_that_is_read_too_late_is_followed_by_a_notice(tmp_path: Path, late: bool) -> None:
+    """On a loop that was late it came in time or did not: a notice does no harm where it did, and the next of
+    its key waits until that is heard."""
+
+    async def main() -> None:
+        engine = make_engine(tmp_path)
+        engine.brain.told = replace(engine.brain.told, ends_by_notice=True)
+        engine.delivery.send = lambda host, messages, terms: None  # type: ignore[method-assign]
+        now = wall_clock()
+        for name in ("m", "next"):
+            held = Held(name, 0, "order", "acme", 1, "k", now, now + (400_000 if name == "m" else 9_000_000))
+            engine.journal.take(held)
+            engine.lives.wait(name)
+            engine._post(engine._submission(held))
+        while engine.brain.messages.get("m") is None or engine.brain.messages["m"].call is None:
+            await asyncio.sleep(0.001)
+        if late:
+            while engine._clock() < engine.brain.messages["m"].deadline:
+                time.sleep(0.01)  # the loop does not run
+        engine.ended(engine.journal.held["m"], "h", Ending(Result.OK, over=True))
+        while "m" in engine.brain.messages:
+            await asyncio.sleep(0.001)
+        assert ("m" in engine.journal.held) == late == bool(engine.notices.open)
+        assert (engine.brain.messages["next"].depth > 0) != late
+        engine.notices.close()
+        engine.discovery.close()
+        engine.delivery.close()
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("late", "committed", "told", "goes"),
     [
--- a/tests/delivery/test_outcomes.py
+++ b/tests/delivery/test_outcomes.py
@@ -7,6 +7,8 @@
 import itertools
 import json
 import math
+import signal
+import time
 from pathlib import Path
 
 import pytest
@@ -411,3 +413,48 @@
         assert b"m2" in host.requests[-1].body or host.requests[-1].id == "m2"
 
     run(scenario, tmp_path)
+
+
+def test_an_answer_in_the_instant_in_which_the_time_is_up(tmp_path: Path) -> None:
+    """It comes right after a message's time, while the relay's loop is late by a moment: the platform counts
+    no such answer, so that the end is told by a notice."""
+
+    async def scenario(w: World) -> None:
+        loop = asyncio.get_running_loop()
+        wall = loop.time() - time.time()
+        ends: dict[str, float] = {}
+        answered: dict[str, float] = {}
+
+        async def script(request: Request) -> bytes | None:
+            if request.id in ends:
+                await asyncio.sleep(max(0.0, ends[request.id] + 0.005 - loop.time()))
+                answered[request.id] = loop.time()
+            return reply(200)
+
+        host = await w.host(script)
+        await w.start()
+        assert w.process is not None
+        await w.warm(host)
+        seen = 0
+        for i in range(200):
+            name = f"m{i}"
+            ends[name] = loop.time() + 0.5
+            assert await w.hand_in(name, Request_Timeout_Ms="500") == 202
+            await w.until(lambda n=name: n in host.ids)  # type: ignore[misc]
+            await asyncio.sleep(max(0.0, ends[name] - 0.045 - loop.time()))
+            w.process.send_signal(signal.SIGSTOP)
+            stopped = loop.time()
+            await asyncio.sleep(max(0.0, ends[name] + 0.02 - loop.time()))
+            w.process.send_signal(signal.SIGCONT)
+            went_on = loop.time()
+            early, late = stopped < ends[name] - 0.03, went_on < ends[name] + 0.1
+            in_time = ends[name] + 0.004 < answered.get(name, 0.0) < went_on  # as far as this process goes
+            if early and late and in_time:
+                await w.until(lambda n=name: n in w.noticed_at)  # type: ignore[misc]
+                assert w.noticed_at[name] + wall < ends[name] + 0.35
+                seen += 1
+            if seen == 3:
+                return
+        raise AssertionError("this process was never in time")
+
+    run(scenario, tmp_path)
