Lingering takes no places from clients, and a 503 for want of one tells when to come back

An eighth of all places kept for lingering closes left 123 for its 130 clients, so that some were evicted unheard; and the 503 of a full front had no Retry-After.

Change: lingering connections count beside all places, eight beyond them at the most; 503 from the front tells 1 s.

--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -20,7 +20,7 @@
 import h11
 
 from loftrelay.core.clock import wall_clock
-from loftrelay.core.engine import Engine
+from loftrelay.core.engine import REFUSED_HERE_MS, Engine
 from loftrelay.core.message import Held
 from loftrelay.core.terms import Accepted
 from loftrelay.net.address import Address
@@ -31,7 +31,7 @@
 MOST_BODY = 64 << 10
 MOST_DRAINED = 1 << 20  # bytes that a client may still send once it is turned away
 LINGER = 0.5  # seconds for which it may, and for which a lingering close reads and throws away
-LINGERING = 8  # part of all connections that may be in their lingering close: beyond, the oldest goes at once
+LINGERING = 8  # connections in their lingering close beyond all places: beyond, the oldest goes at once
 REQUEST_TIME = 2.0  # seconds from a request's first byte to its last; the first one's from the connection on
 IDLE_TIME = 3.0  # seconds for which a connection without a request is kept
 TIME_TO_SPEAK = 0.1  # seconds in which a client that has just come, or been answered, may ask something
@@ -297,6 +297,8 @@
             self.abort()
             return
         headers = [("Connection", "close")]
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            headers.append(("Retry-After", f"{REFUSED_HERE_MS / 1000:g}"))
         if status == HTTPStatus.METHOD_NOT_ALLOWED and self.request is not None:
             headers.append(("Allow", "GET, HEAD" if self.request.target == READY.encode() else "POST"))
         self._respond(status, headers, reason)
@@ -365,8 +367,7 @@
 class Server:
     def __init__(self, engine: Engine, most_clients: int) -> None:
         self.engine = engine
-        self.most_lingering = max(1, most_clients // LINGERING)
-        self.most_clients = most_clients - self.most_lingering
+        self.most_clients = most_clients
         self.newcomers: dict[Client, None] = {}  # no whole request has come yet; in the order of arrival
         self.once: dict[
             Client, None
@@ -491,7 +492,7 @@
     def arrived(self, client: Client) -> None:
         self.newcomers[client] = None
         client.since = asyncio.get_running_loop().time()
-        if len(self.newcomers) + len(self.once) + len(self.regulars) > self.most_clients:
+        if self.places_taken > self.most_clients:
             leaves = self._least_missed(client)
             if leaves is client:
                 leaves.turn_away("all places are taken")
@@ -501,7 +502,7 @@
     def lingers(self, client: Client) -> None:
         self.gone(client)
         self.lingering[client] = None
-        if len(self.lingering) > self.most_lingering:
+        if self.places_taken + len(self.lingering) > self.most_clients + LINGERING:
             oldest = next(iter(self.lingering))
             del self.lingering[oldest]  # now: the loop tells of its end only in a later pass
             oldest.drop()
@@ -519,6 +520,10 @@
             return idle
         return silent or idle or client
 
+    @property
+    def places_taken(self) -> int:
+        return len(self.newcomers) + len(self.once) + len(self.regulars)
+
     def clients(self) -> list[Client]:
         """All that are not in their lingering close."""
         return [*self.newcomers, *self.once, *self.regulars]
--- a/tests/fronts/http/test_endings.py
+++ b/tests/fronts/http/test_endings.py
@@ -118,10 +118,11 @@
     """Clients that rest until the relay ends them hold no place for longer."""
 
     async def scenario(server: Server, come: Callable[[], Awaitable[Streams]]) -> None:
-        streams = [await come() for _ in range(8)]
+        streams = [await come() for _ in range(20)]
+        assert server.places_taken == 4 and len(server.lingering) <= 3
         for client in server.clients():
             client.close()
-        assert len(server.lingering) == server.most_lingering == 1
+        assert len(server.lingering) <= 4 + 3
         while server.unfinished:
             await asyncio.sleep(0.01)  # nobody ends but the relay
         for reader, writer in streams:
@@ -129,7 +130,8 @@
             writer.close()
 
     monkeypatch.setattr(front, "LINGER", 0.05)
-    serve(scenario, tmp_path)
+    monkeypatch.setattr(front, "LINGERING", 3)
+    serve(scenario, tmp_path, places=4)
 
 
 def test_with_all_places_taken_a_new_client_is_told_so(tmp_path: Path) -> None:
@@ -141,7 +143,8 @@
             await asyncio.sleep(0)
         assert server.listening is not None
         reader, writer = await asyncio.open_connection(*server.listening.getsockname())
-        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503 ")
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1\r\n" in answer
         for stream in (*streams, (reader, writer)):
             stream[1].close()
 
