Thin relays hold one failed call for an outage in large fleets alone

Change: the rule of one failure, and of siblings that never answered, holds from CROWD (20) relays on.

The cold returns of 20, 30 and 230 relays go by the same code as before.

--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -927,7 +927,7 @@
             seen = max((len(gate.sends) - 1) * SECOND / self.tip_after, need)
             gate.pace = max(min(gate.pace, seen) * PACE_CUT, need * PACE_FLOOR)
             gate.window = min(gate.window, 0.5)
-        elif any(e.failures == 0 and (e.usual or unmet) for e in siblings):
+        elif any(e.failures == 0 and (e.usual or unmet or self.relays < CROWD) for e in siblings):
             # One endpoint of several: the others go on. One that never answered proves nothing of a hang.
             gate.window = max(1.0, gate.window)
         if gate.window < 1:
@@ -951,7 +951,9 @@
         # Trouble: of two hundred relays half saw one call fail or two, held that for no outage, and went on
         # at their own pace as the destination came back. Where a cold window holds less than one call of
         # this relay's part, one failure is all that it may ever see.
-        thin = not full and own * self.multiple * self.cold_from * self.tip_after < SECOND
+        # Harm: among few relays each lost call slowed its destination down for nothing.
+        crowd = not full and self.relays >= CROWD
+        thin = crowd and own * self.multiple * self.cold_from * self.tip_after < SECOND
         streak = (gate.failures >= 2 and lasting) or thin
         if not gate.outage and gate.window < 1 and (streak or gate.errors > OUTAGE_ERRORS):
             gate.outage, gate.cold_since = True, None
