--- a/loftrelay/core/ports.py
+++ b/loftrelay/core/ports.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Any, Protocol
 
 from loftrelay.core.message import Held, Remembered
@@ -137,6 +138,25 @@
     def close(self) -> None: ...
 
 
+class Slice(Enum):
+    """What became of a destination that was asked for. It is told by Engine.sliced."""
+
+    HELD = auto()  # its hosts are in the list now
+    EMPTY = auto()  # nobody lists it
+    AWAY = auto()  # nobody could say within the time set
+
+
+class Slices(Protocol):
+    """A directory that holds the destinations alone that this relay serves (docs/slices.md)."""
+
+    def want(self, destination: int) -> None:
+        """A message came for one that is not held: one Engine.sliced follows, in the time set, at the latest.
+        Asked again meanwhile, the one answer stands for all."""
+
+    def use(self, destination: int) -> None:
+        """A message came for one that is held: it is not idle."""
+
+
 class NoticeBoard(Protocol):
     """Where the platform is told of ends. What it has heard comes by Engine.noticed."""
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -17,8 +17,9 @@
     "journal": {"core"},
     "record": {"core", "settings"},
     "demo": set[str](),
-    "commands": {"record", "demo", "settings", "net"},
-    "membership": {"core", "net"},
+    "commands": {"record", "registry", "demo", "settings", "net"},
+    "registry": {"net", "settings"},
+    "membership": {"core", "net", "registry", "settings"},
     "delivery": {"core", "net", "settings"},
     "fronts": {"core", "net", "figures"},
     "upgrade": {"core", "net", "journal"},
@@ -44,6 +45,7 @@
     "fleet/verdicts.py",
     "fleet/wire.py",
     "lab/links.py",
+    "registry/protocol.py",
 }
 INPUT_OUTPUT = {"asyncio", "socket", "os", "select", "time", "pathlib", "threading", "subprocess"}
 
