A change of the list costs the module what it brings, not what is listed

Change: endpoints that are gone and still bound stand in a dict of their own. A change looks at the entries told and at 64 of those, or at twice as many as it brings, all in turn; a whole list at all, as before. Up to 64 nothing differs: same events, order and draws.

Tests count instructions and walks, not time: at most 1.5 x between 1,000 and 50,000 listed.

--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -13,6 +13,7 @@
 from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import islice
 
 from mulleinlead import interface as api
 from mulleinlead.interface import Effect, Form, Result, State
@@ -62,6 +63,7 @@
 NO_COLD, NO_COLD_FROM, NO_MULTIPLE, NO_TIP = 10 * SECOND, 0.2, 2.0, 2 * SECOND
 NO_ASK, NO_HELD, NO_IDLE = 10 * SECOND, 1 << 30, 10 * SECOND
 DOUBTFUL = (Result.ERROR, Result.TIMEOUT, Result.BROKEN, Result.SPOILT, Result.CANCELLED)
+LEAST_LOOKS = 64  # endpoints that are gone, and may be forgotten by now, that are looked at with each change
 NEVER = 1 << 62
 
 
@@ -216,6 +218,7 @@
         self.actions: list[api.Action] = []
         self.destinations: dict[int, Destination] = {}
         self.endpoints: dict[str, Endpoint] = {}
+        self.gone: dict[str, Endpoint] = {}  # those that no list names any more, and something still binds
         self.messages: dict[str, Message] = {}
         self.keys: dict[str, Key] = {}
         self.unnoticed: dict[str, Message] = {}  # ended, but still first in line for their keys
@@ -317,18 +320,23 @@
         if event.form is not Form.CHANGES:
             for endpoint in self.endpoints.values():
                 endpoint.state = State.GONE
+            self.gone = dict(self.endpoints)
         for entry in event.entries:
             self._entry(entry)
-        for endpoint in [e for e in self.endpoints.values() if e.state is State.GONE]:
-            self._forget(endpoint)
+        # A change costs in proportion to itself, however many are listed, or gone and still bound.
+        looks = max(LEAST_LOOKS, 2 * len(event.entries)) if event.form is Form.CHANGES else len(self.gone)
+        for name in list(islice(self.gone, looks)):
+            self._forget(self.gone.pop(name))
 
     def _forget(self, endpoint: Endpoint) -> None:
         """Trouble: hosts replaced all day long pile up. Kept while anything learned there still binds."""
         gate, destination = endpoint.gate, endpoint.destination
         bound = gate is not destination.gate and (gate.outage or gate.cold_since is not None)
-        if not endpoint.in_flight and not bound and gate.told_until <= self.now:
-            del self.endpoints[endpoint.name]
-            destination.endpoints.remove(endpoint)
+        if endpoint.in_flight or bound or gate.told_until > self.now:
+            self.gone[endpoint.name] = endpoint  # behind the others that are still to be looked at
+            return
+        del self.endpoints[endpoint.name]
+        destination.endpoints.remove(endpoint)
 
     def _entry(self, entry: api.Entry) -> None:
         kind = self.told.kinds.get(entry.kind or "")
@@ -345,6 +353,10 @@
             self.endpoints[entry.endpoint] = endpoint
             destination.endpoints.append(endpoint)
         endpoint.state = entry.state
+        if entry.state is State.GONE:
+            self.gone[entry.endpoint] = endpoint
+        else:
+            self.gone.pop(entry.endpoint, None)
         if entry.rate and self.told.told_rates in ("nominal", "rough"):
             endpoint.rate = endpoint.gate.told = entry.rate
 
--- /dev/null
+++ b/tests/core/test_long_lists.py
@@ -0,0 +1,54 @@
+"""What a change of the list costs the engine and the delivery goes by the change."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+from pathlib import Path
+
+import pytest
+
+from loftrelay.app import build
+from loftrelay.core.engine import Engine
+from loftrelay.net.address import Address
+from mulleinlead.interface import Entry, Form, Listing, State
+from tests.core.test_counts import close, config
+from tests.standins.work import Walked, steps
+
+pytestmark = pytest.mark.usefixtures("no_stalls")
+
+FEW, MANY = 1_000, 50_000
+AT: Address = ("127.0.0.1", 9)
+
+
+def entry(name: str, destination: int, state: State = State.LISTED) -> Entry:
+    return Entry(name, destination, state, "here", "plain", None)
+
+
+def listed(engine: Engine, form: Form, *entries: Entry) -> None:
+    engine.listed(Listing(form, entries), {e.endpoint: AT for e in entries})
+    engine._turn()
+
+
+CHANGES = [entry("h5", 5, State.DRAINING), entry("h6", 6, State.GONE), entry("new", 7)]
+
+
+@pytest.mark.parametrize("change", CHANGES)
+def test_a_change_costs_what_it_brings(tmp_path: Path, change: Entry) -> None:
+    async def scenario() -> None:
+        costs = []
+        for size in (FEW, MANY):
+            engine, journal = build(config(tmp_path / str(size)))
+            listed(engine, Form.FULL, *(entry(f"h{i}", i) for i in range(size)))
+            assert len(engine.entries) == size
+            brain = engine.brain
+            engine.entries, engine.bundles = Walked(engine.entries), Walked(engine.bundles)
+            brain.endpoints, brain.destinations = Walked(brain.endpoints), Walked(brain.destinations)
+            costs.append(steps(partial(listed, engine, Form.CHANGES, change)))
+            for of in (engine.entries, engine.bundles, brain.endpoints, brain.destinations):
+                assert isinstance(of, Walked) and of.walked == 0
+            close(engine)
+            journal.close()
+        assert 0 < costs[1] <= 1.5 * costs[0]
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/mulleinlead/test_long_lists.py
@@ -0,0 +1,109 @@
+"""What a change of the list costs goes by the change, however many hosts are listed."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from mulleinlead import interface as api
+from mulleinlead.brain import LEAST_LOOKS, Brain
+from mulleinlead.interface import Result
+from tests.mulleinlead.world import SETTINGS, START, Driver, S, entry
+from tests.standins.work import Walked, steps
+
+FEW, MANY = 1_000, 50_000
+CHANGES = {
+    "a host drains": (entry("h5", 5, state=api.State.DRAINING),),
+    "a host goes": (entry("h6", 6, state=api.State.GONE),),
+    "a host comes": (entry("new", 7),),
+    "nothing": (),
+}
+
+
+def told(module: Brain, *entries: api.Entry) -> int:
+    """The steps that a change takes."""
+    listing = api.Listing(api.Form.CHANGES, entries)
+    return steps(lambda: module.handle(module.now + 100_000, [listing]))
+
+
+@pytest.fixture(scope="module")
+def modules() -> dict[int, Brain]:
+    made = {}
+    for size in (FEW, MANY):
+        module = made[size] = Brain(1, SETTINGS)
+        module.handle(START, [api.Listing(api.Form.FULL, tuple(entry(f"h{i}", i) for i in range(size)))])
+        module.endpoints, module.destinations = Walked(module.endpoints), Walked(module.destinations)
+    return made
+
+
+@pytest.mark.parametrize("what", CHANGES)
+def test_a_change_costs_what_it_brings(modules: dict[int, Brain], what: str) -> None:
+    few, many = (told(modules[size], *CHANGES[what]) for size in (FEW, MANY))
+    assert 0 < many <= 1.5 * few
+    for module in modules.values():
+        assert isinstance(module.endpoints, Walked) and module.endpoints.walked == 0
+        assert isinstance(module.destinations, Walked) and module.destinations.walked == 0
+
+
+def test_the_count_sees_a_walk(modules: dict[int, Brain]) -> None:
+    """The check before this one can fail."""
+    few, many = (steps(modules[size].avoided) for size in (FEW, MANY))
+    assert many > 40 * few
+    for size, module in modules.items():
+        assert isinstance(module.endpoints, Walked) and size - 9 < module.endpoints.walked < size + 9
+        module.endpoints.walked = 0
+
+
+def gone(d: Driver, *names: str) -> tuple[api.Entry, ...]:
+    return tuple(entry(name, state=api.State.GONE) for name in names)
+
+
+def test_one_that_is_gone_is_forgotten_with_the_first_change_after_it_binds_no_more() -> None:
+    d = Driver(entry("a", 1), entry("b", 2), entry("c", 3))
+    d.brain.bind(d.now, "a", 2 * S)
+    d.submit("m", destination=2)
+    d.feed(api.Listing(api.Form.CHANGES, (entry("a", 1, state=api.State.GONE),)))
+    d.feed(api.Listing(api.Form.CHANGES, (entry("b", 2, state=api.State.GONE),)), after=S)
+    assert set(d.brain.endpoints) == {"a", "b", "c"} and set(d.brain.gone) == {"a", "b"}
+    d.feed(api.Listing(api.Form.CHANGES, ()), after=S)
+    assert set(d.brain.endpoints) == {"b", "c"} and d.brain.destinations[1].endpoints == []
+    d.outcome("m", Result.OK)
+    d.feed(api.Listing(api.Form.CHANGES, (entry("d", 4),)))
+    assert set(d.brain.endpoints) == {"c", "d"} and not d.brain.gone
+
+
+def test_one_that_is_gone_and_listed_again_stays() -> None:
+    d = Driver(entry("a"))
+    d.brain.bind(d.now, "a", 2 * S)
+    d.feed(api.Listing(api.Form.CHANGES, (entry("a", state=api.State.GONE),)))
+    d.feed(api.Listing(api.Form.CHANGES, (entry("a"),)), after=S)
+    d.feed(api.Listing(api.Form.CHANGES, ()), after=9 * S)
+    assert set(d.brain.endpoints) == {"a"} and not d.brain.gone
+    assert d.submit("m") and d.sent[-1][1].endpoint == "a"
+
+
+def test_many_that_are_gone_and_bind_for_long_cost_a_change_no_more_than_a_few() -> None:
+    """Routes that went in an outage stay: each change looks at some of them, and at all in turn."""
+    costs = []
+    for size in (2 * LEAST_LOOKS, 80 * LEAST_LOOKS):
+        names = [f"h{i}" for i in range(size)]
+        d = Driver(*(entry(name, i, kind="apart") for i, name in enumerate(names)))
+        for name in names:
+            d.brain.endpoints[name].gate.outage = True
+        d.feed(api.Listing(api.Form.CHANGES, tuple(replace(entry(n), state=api.State.GONE) for n in names)))
+        assert len(d.brain.gone) == size
+        costs.append(told(d.brain))
+        for endpoint in d.brain.endpoints.values():
+            endpoint.gate.outage = False
+        for _ in range(size // LEAST_LOOKS):
+            d.feed(api.Listing(api.Form.CHANGES, ()))
+        assert not d.brain.endpoints and not d.brain.gone
+    assert costs[1] <= 1.5 * costs[0]
+
+
+def test_a_whole_list_looks_at_all_that_are_gone() -> None:
+    names = [f"h{i}" for i in range(3 * LEAST_LOOKS)]
+    d = Driver(*(entry(name) for name in names))
+    d.feed(api.Listing(api.Form.FULL, (entry("x"),)))
+    assert set(d.brain.endpoints) == {"x"} and not d.brain.gone
