--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -60,7 +60,7 @@
         prog="python -m loftrelay",
         description="Runs one relay in the foreground, until SIGTERM. Other commands, each with --help: "
         "record (reads the store of record), demo (shows a relay at work on this machine alone), "
-        "ctl (one call at a relay's door for operators).",
+        "ctl (one call at a relay's door for operators), registry (tells relays their slices of the list).",
         epilog="RELAY_CONFIG names the platform's file; RELAY_STATE the folder that lasts. RELAY_NAME, "
         "RELAY_LISTEN and RELAY_DISCOVERY go before what the file says. SIGHUP reads the file again.",
     )
@@ -80,6 +80,12 @@
     return about
 
 
+def start_log() -> None:
+    handler = logging.StreamHandler()
+    handler.addFilter(Throttle())
+    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", handlers=[handler])
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     given = sys.argv[1:] if arguments is None else list(arguments)
     if given[:1] == ["record"]:
@@ -94,10 +100,13 @@
         from loftrelay.commands import ctl
 
         return ctl.main(given[1:])
+    if given[:1] == ["registry"]:
+        from loftrelay.commands import registry
+
+        start_log()
+        return registry.main(given[1:])
     asked = parser().parse_args(given)
-    handler = logging.StreamHandler()
-    handler.addFilter(Throttle())
-    logging.basicConfig(level=logging.INFO, format="%(levelname)s %(name)s: %(message)s", handlers=[handler])
+    start_log()
     connections, record, fleet = Limits(), None, None
     try:
         config = load_config(os.environ, fleet=asked.fleet is not None)
--- a/loftrelay/registry/protocol.py
+++ b/loftrelay/registry/protocol.py
@@ -80,6 +80,14 @@
     members: Sequence[Any]
 
 
+@dataclass(frozen=True, slots=True)
+class Plain:
+    """A call in discovery's own form, for the whole list: without `index` it is told whole."""
+
+    index: int | None = None
+    wait: int = 0
+
+
 def checksum(cells: Iterable[int]) -> int:
     return sum(cells) & 0xFFFFFFFF
 
@@ -117,7 +125,7 @@
     return tuple(map(int, parts))
 
 
-def read_target(text: str) -> Change | Watch:
+def read_target(text: str) -> Change | Watch | Plain:
     """Raises ProtocolError."""
     path, _, query = text.partition("?")
     if path != PATH:
@@ -129,10 +137,14 @@
     told = dict(pairs)
     if len(told) < len(pairs):
         raise ProtocolError(f"query = {query[:80]!r}: a field stands in it twice")
+    if "fleet" not in told and "subscriber" not in told:
+        index = _number(told, "index") if "index" in told else None
+        return Plain(index, _number(told, "wait", 60_000))
     for name, most in (("fleet", MOST_NAME), ("subscriber", MOST_SUBSCRIBER)):
         if not 1 <= len(told.get(name, "")) <= most:
             raise ProtocolError(f"{name} = {told.get(name, '')[:40]!r}: is no text of 1 to {most} characters")
-    fleet, subscriber, index = told["fleet"], told["subscriber"], _number(told, "index")
+    fleet, subscriber = told["fleet"], told["subscriber"]
+    index = _number(told, "index")
     if "wait" in told:
         return Watch(fleet, subscriber, index, _number(told, "wait", 60_000))
     add, have, drop = (_read_cells(told, name) for name in ("add", "have", "drop"))
@@ -154,6 +166,17 @@
     return head[:-1] + b',"members":[' + b",".join(rows) + b"]}"
 
 
+def write_plain(revision: int, complete: bool, rows: Iterable[bytes]) -> bytes:
+    """Discovery's own answer."""
+    head = json.dumps({"revision": revision, "complete": complete}, separators=(",", ":")).encode()
+    return head[:-1] + b',"members":[' + b",".join(rows) + b"]}"
+
+
+def write_error(why: str) -> bytes:
+    """One line, for a status other than 200."""
+    return json.dumps({"error": why}).encode() + b"\n"
+
+
 def read_answer(body: bytes) -> Answer:
     """The rows are not looked into. Raises ProtocolError."""
     try:
--- /dev/null
+++ b/tests/standins/discovery.py
@@ -0,0 +1,142 @@
+"""Discovery that holds a watch and answers it with changes only, for tests of the registry."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from tests.standins.platform import HANG
+
+
+def row(host: str, cell: int, phase: str = "Ready", **more: Any) -> dict[str, Any]:
+    return {
+        "id": host, "host_port": "127.0.0.1:9", "locality": "a", "flavor": "plain", "cell": cell,
+        "phase": phase, "size": 1.0, "up_since_ms": 0, **more,
+    }  # fmt: skip
+
+
+class Discovery:
+    """Use as an async context. `indent`: of its answers; `silent`: calls are taken and never answered."""
+
+    def __init__(self, rows: Iterable[dict[str, Any]] = (), revision: int = 1) -> None:
+        self.revision = revision
+        self.rows = {told["id"]: told for told in rows}
+        self.log: list[tuple[int, dict[str, Any]]] = []  # what changed, by revision
+        self.indent: int | None = None
+        self.silent = False
+        self.asked: list[str] = []  # targets
+        self.answered = 0
+        self.port = 0
+        self._since = revision  # what was before is told whole
+        self._down = False
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._changed = asyncio.Event()
+
+    async def __aenter__(self) -> Discovery:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.port}"
+
+    async def start(self) -> None:
+        """At the same port again, after `stop`."""
+        self._down = False
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        assert self._server is not None
+        self._server.close()
+        self._down = True
+        for writer in self._writers:
+            writer.transport.abort()
+        self.bump()
+        await asyncio.gather(*self._tasks)
+
+    def change(self, *rows: dict[str, Any]) -> None:
+        """All under one new revision; with the phase Gone a host is listed no longer."""
+        self.revision += 1
+        for told in rows:
+            if told["phase"] == "Gone":
+                self.rows.pop(told["id"], None)
+            else:
+                self.rows[told["id"]] = told
+            self.log.append((self.revision, told))
+        self.bump()
+
+    def count_anew(self, revision: int, rows: Iterable[dict[str, Any]]) -> None:
+        self.revision, self.log, self._since = revision, [], revision
+        self.rows = {told["id"]: told for told in rows}
+        self.bump()
+
+    def bump(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def until_asked(self, count: int) -> None:
+        async with asyncio.timeout(HANG):
+            while len(self.asked) < count:
+                await self._changed.wait()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                target = head.split(b" ", 2)[1].decode()
+                self.asked.append(target)
+                self.bump()
+                body = await self._answer(target)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+                await writer.drain()
+                self.answered += 1
+                self.bump()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+            writer.transport.abort()
+
+    async def _answer(self, target: str) -> bytes:
+        while self.silent:
+            await self._wait()
+        _, _, query = target.partition("?")
+        fields = dict(part.split("=") for part in query.split("&") if part)
+        if "index" not in fields:
+            return self._whole()
+        index, wait = int(fields["index"]), int(fields["wait"]) / 1000
+        try:
+            async with asyncio.timeout(wait):
+                while self.revision == index:
+                    await self._wait()
+        except TimeoutError:
+            pass
+        if not self._since <= index <= self.revision:
+            return self._whole()
+        last = {told["id"]: told for revision, told in self.log if revision > index}
+        return self._write(False, list(last.values()))
+
+    async def _wait(self) -> None:
+        await self._changed.wait()
+        if self._down:
+            raise ConnectionError
+
+    def _whole(self) -> bytes:
+        return self._write(True, list(self.rows.values()))
+
+    def _write(self, complete: bool, members: list[dict[str, Any]]) -> bytes:
+        told = {"revision": self.revision, "complete": complete, "members": members}
+        return json.dumps(told, indent=self.indent).encode()
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -46,6 +46,9 @@
     "fleet/wire.py",
     "lab/links.py",
     "registry/protocol.py",
+    "registry/listing.py",
+    "registry/catalog.py",
+    "registry/subscriptions.py",
 }
 INPUT_OUTPUT = {"asyncio", "socket", "os", "select", "time", "pathlib", "threading", "subprocess"}
 
