Slopes of the list and of what is held: costs at several sizes, a fit, the largest size predicted

Change: benchmarks/slopes.py (table, fits, one JSON line) and slope_cases.py: one process for each size and run. Tried: the kind of fit chosen for every slope: a power law through the memory of small lists, most of it still the interpreter's own room, came out at 1.6 times the line. What the code walks or keeps once is fitted as a line.

--- /dev/null
+++ b/benchmarks/slope_cases.py
@@ -0,0 +1,329 @@
+"""What one size costs, each in a process of its own, which benchmarks.slopes starts.
+
+python -m benchmarks.slope_cases CASE SIZE; the last line is JSON: figure -> value. Processor time is user and
+system time of the process, not time on the wall; memory is the unique set size (USS) in bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import logging
+import random
+import resource
+import selectors
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from benchmarks.process import cpu_seconds
+from loftrelay.app import build
+from loftrelay.config import Config
+from loftrelay.core.engine import Engine
+from loftrelay.membership.discovery import read_list
+from mulleinlead import interface as api
+from mulleinlead.adapter import read_settings
+from mulleinlead.brain import Brain
+from tests.standins.platform import SETTINGS, Peer, World, deliver, free_port
+from tests.standins.traffic import Account, Client, Order
+
+NOBODY = ("127.0.0.1", 9)  # where connections are refused
+MS, SECOND = 1_000, 1_000_000
+Figures = dict[str, float]
+
+
+def uss(pid: int | None = None) -> int:
+    gc.collect()
+    return int(psutil.Process(pid).memory_full_info().uss)
+
+
+def row(number: int, phase: str = "Ready") -> dict[str, Any]:
+    """An entry as discovery writes it: each destination has one host."""
+    return {
+        "id": f"host-{number:06d}", "host_port": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080",
+        "locality": "a", "flavor": "plain", "cell": number, "phase": phase, "size": 1.0,
+        "up_since_ms": 1_790_000_000_000 + number,
+    }  # fmt: skip
+
+
+def whole_list(size: int) -> bytes:
+    told = {"revision": 2, "complete": True, "members": [row(number) for number in range(size)]}
+    return json.dumps(told).encode()
+
+
+# The module
+
+
+def listing_change(size: int, times: int = 40) -> Figures:
+    """Processor time of the module's whole turn in which one entry of so many changes: it drains, goes,
+    comes back, and is listed once more as it was."""
+    entries = [
+        api.Entry(f"host-{number:06d}", number, api.State.LISTED, "a", "plain", None)
+        for number in range(size)
+    ]
+    before = uss()
+    brain = Brain(1, read_settings(SETTINGS))
+    brain.handle(SECOND, [api.Listing(api.Form.FULL, tuple(entries))])
+    grown = uss() - before
+    spent = []
+    for time_ in range(times):
+        entry = entries[(time_ // 4 * 7919) % size]
+        state = (api.State.DRAINING, api.State.GONE, api.State.LISTED, api.State.LISTED)[time_ % 4]
+        event = api.Listing(api.Form.CHANGES, (replace(entry, state=state),))
+        began = time.process_time()
+        brain.handle(2 * SECOND + time_ * SECOND, [event])
+        spent.append(time.process_time() - began)
+    return {"change_us": sorted(spent)[len(spent) // 2] * 1e6, "module_bytes": grown}
+
+
+# The list
+
+
+class Passes(selectors.EpollSelector):
+    """Processor time of each pass of a loop, from one wait to the next."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.back = time.thread_time()
+        self.longest = 0.0
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        self.longest = max(self.longest, time.thread_time() - self.back)
+        ready = super().select(timeout)
+        self.back = time.thread_time()
+        return ready
+
+
+def looped(main: Callable[[Passes], Coroutine[Any, Any, Figures]]) -> Figures:
+    passes = Passes()
+    with asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(passes)) as runner:
+        return runner.run(main(passes))
+
+
+def made(folder: Path) -> Engine:
+    """A relay's engine, delivery, list and notices, with nobody at the other end."""
+    settings = replace(read_settings(SETTINGS), list_on_request=True, ends_by_notice=True)
+    return build(Config("n", NOBODY, NOBODY, folder, 1, 100, 100, 1_000_000, settings, {}))[0]
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def listed(size: int) -> Figures:
+    """A whole list taken, its bytes at hand: read as the watch reads it and told to the engine in one pass,
+    and the module's turn in the next. The socket and h11 are not in it, nor the cap on an answer's length
+    (net/http.py, MOST_BODY): over it a relay never comes so far. First ten entries, so that what is made once
+    is not counted; then the same list again, as after a failed watch."""
+    body = whole_list(size)
+
+    async def main(passes: Passes) -> Figures:
+        with tempfile.TemporaryDirectory() as folder:
+            engine = made(Path(folder))
+
+            def take(told: bytes) -> None:
+                _, complete, entries = read_list(json.loads(told))
+                form = api.Form.FULL if complete else api.Form.CHANGES
+                listing = api.Listing(form, tuple(entry for entry, _ in entries))
+                engine.listed(listing, {entry.endpoint: address for entry, address in entries})
+
+            async def taken(told: bytes, count: int) -> float:
+                began = time.process_time()
+                asyncio.get_running_loop().call_soon(take, told)
+                await asyncio.sleep(0)
+                await until(lambda: not engine.turn_due and len(engine.brain.endpoints) == count)
+                return time.process_time() - began
+
+            await taken(whole_list(10), 10)
+            peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+            before = uss()
+            passes.longest = 0.0
+            passes.back = time.thread_time()
+            first, longest = await taken(body, size), 0.0
+            longest = passes.longest
+            peak = max(0, resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024 - peak)
+            grown = uss() - before
+            again = await taken(body, size)
+            engine.notices.close()
+            engine.discovery.close()
+            engine.delivery.close()
+            return {
+                "list_bytes": grown, "list_peak_bytes": peak, "list_cpu_s": first, "standstill_s": longest,
+                "again_cpu_s": again, "body_bytes": len(body),
+            }  # fmt: skip
+
+    return looped(main)
+
+
+# What is held
+
+
+CLIENTS, DOWN, LIVE, WINDOW = 32, 10, 2, 500
+HOUR_MS = 3_600_000
+# Nothing ends while it is measured: long deadlines, many tries, more room than is used.
+HOLDING: dict[str, Any] = {
+    "classes": [{**about, "deadline": HOUR_MS * MS} for about in SETTINGS["classes"]],
+    "policy_limits": {**SETTINGS["policy_limits"], "most_held": 1_000_000, "most_tries": 100_000},
+}
+ASK_READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+RATE, DOWN_PART, PACED = 192, 0.046, 5.0  # messages a second, of these to who is down, seconds
+DRAINED = 15.0  # seconds at the most
+
+
+def written(folder: Path) -> int:
+    return sum(path.stat().st_size for path in folder.rglob("*") if path.is_file())
+
+
+async def hand_in(client: Client, name: str, destination: int) -> None:
+    """Until it is taken on."""
+    order = Order(name, "status", destination, timeout=HOUR_MS / 1000)
+    while (status := await client.hand_in(order)) != 202:
+        if status != 503:
+            raise RuntimeError(f"{name} is answered {status}")
+        await asyncio.sleep(0.01)
+
+
+async def take_on(world: World, first: int, last: int, destinations: int) -> None:
+    """Messages first to last, by clients on kept connections, each as soon as its last one was answered."""
+    account, numbers = Account(), iter(range(first, last))
+
+    async def go() -> None:
+        client = Client(world, account)
+        for number in numbers:
+            await hand_in(client, f"m{number:07d}", 1 + number % destinations)
+        client.close()
+
+    await asyncio.gather(*(go() for _ in range(CLIENTS)))
+
+
+async def traffic(world: World, of: str, seconds: float) -> int:
+    """What a relay is given at the target, evenly in time: to the live destinations, and a part to those that
+    are down. Gives how many messages."""
+    account, chance, count = Account(), random.Random(1), int(RATE * seconds)
+    loop = asyncio.get_running_loop()
+    began, numbers = loop.time(), iter(range(count))
+
+    async def go() -> None:
+        client = Client(world, account)
+        for number in numbers:
+            await asyncio.sleep(max(0.0, began + number / RATE - loop.time()))
+            down = chance.random() < DOWN_PART
+            await hand_in(client, f"{of}{number}", 1 + number % DOWN if down else DOWN + 1 + number % LIVE)
+        client.close()
+
+    await asyncio.gather(*(go() for _ in range(CLIENTS)))
+    return count
+
+
+async def outstanding(world: World) -> int:
+    lines = (await world.call("show-stat")).split()
+    return next(int(line.partition("=")[2]) for line in lines if line.startswith("app.outstanding="))
+
+
+async def ready(world: World) -> int:
+    """Until a relay that has just been started says that it serves. Its number."""
+    while True:
+        with contextlib.suppress(OSError):
+            if (await world.ask(ASK_READY))[0] == 200:
+                assert world.process is not None
+                return world.process.pid
+        await asyncio.sleep(0.005)
+
+
+def holder(folder: Path) -> World:
+    world = World(folder, **HOLDING)
+    world.limits = {"sockets": 512, "disk_mb": 400}
+    world.control = f"127.0.0.1:{free_port()}"
+    return world
+
+
+async def _held(size: int, folder: Path) -> Figures:
+    async with holder(folder) as world:
+        for destination in range(1, DOWN + 1):
+            world.list_host(destination, "plain", "Ready", "{}:{}".format(*NOBODY))
+        for destination in range(DOWN + 1, DOWN + LIVE + 1):
+            await world.host(deliver, destination)
+        await world.start()
+        pid, state = await ready(world), folder / "state"
+        memory, journal = uss(pid), written(state)
+        await take_on(world, 0, size - WINDOW, DOWN)
+        before = cpu_seconds(pid)
+        await take_on(world, size - WINDOW, size, DOWN)
+        taking = (cpu_seconds(pid) - before) / WINDOW
+        memory, journal = uss(pid) - memory, written(state) - journal
+        if (count := await outstanding(world)) != size:
+            raise RuntimeError(f"{count} are held, not {size}")
+        await world.kill()
+        began = time.monotonic()
+        await world.start()
+        pid = await ready(world)
+        started, cpu = time.monotonic() - began, cpu_seconds(pid)
+        if (count := await outstanding(world)) != size:
+            raise RuntimeError(f"{count} are held after the start, not {size}")
+        await traffic(world, "w", 2.0)
+        before = cpu_seconds(pid)
+        beside = await traffic(world, "b", PACED)
+        passing = (cpu_seconds(pid) - before) / beside
+    return {
+        "held_bytes": memory, "journal_bytes": journal, "take_us": taking * 1e6, "start_s": started,
+        "start_cpu_s": cpu, "beside_us": passing * 1e6,
+    }  # fmt: skip
+
+
+def held(size: int) -> Figures:
+    """A relay as a process holds so many messages for ten destinations that are down: they refuse
+    connections. Memory and journal with bodies of five bytes. Taking on one message more, by 32 clients as
+    fast as it goes, the last 500; then it is killed and started: until it says ready, on the wall, and the
+    processor time until then, the interpreter's start (size 0) in both; last a message of the target's
+    traffic, taken on and delivered, beside what is held. Processor time is counted by the system in
+    hundredths of a second."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(_held(size, Path(folder)))
+
+
+async def _drain(size: int, folder: Path) -> Figures:
+    async with holder(folder) as world:
+        port = free_port()
+        world.list_host(1, "plain", "Ready", f"127.0.0.1:{port}")
+        await world.start()
+        pid = await ready(world)
+        await take_on(world, 0, size, 1)
+        peer = Peer(world, deliver)
+        await peer.start(port)
+        world.peers.append(peer)
+        await world.until(lambda: peer.answered >= 20)
+        began, before, first = time.monotonic(), cpu_seconds(pid), peer.answered
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(DRAINED):
+                await world.until(lambda: peer.answered >= first + size // 4)
+        count, took = peer.answered - first, time.monotonic() - began
+        cpu = cpu_seconds(pid) - before
+    return {"drain_us": cpu / count * 1e6, "drained_per_s": count / took, "drained": count}
+
+
+def drain(size: int) -> Figures:
+    """So many messages wait for one destination that comes up: processor time of the relay for each that is
+    delivered, and how many a second, from the twentieth on until a quarter is, or for 15 s."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(_drain(size, Path(folder)))
+
+
+CASES: dict[str, Callable[[int], Figures]] = {
+    "listing_change": listing_change,
+    "listed": listed,
+    "held": held,
+    "drain": drain,
+}
+
+if __name__ == "__main__":
+    logging.disable(logging.WARNING)
+    print(json.dumps(CASES[sys.argv[1]](int(sys.argv[2]))))
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,191 @@
+"""What grows with what: costs of the program at several sizes, a fit of each, and its value at the target.
+
+python -m benchmarks.slopes [--quick] [--only NAME...]; a table, and last one line of JSON, for each slope:
+  unit, about       what was measured; processor time and not time on the wall, where nothing else is said
+  sizes             each with `median`, `least` and `most` of its runs, one process each
+  fit               `kind`, `constant`, `slope` over all sizes, the kind chosen on all but the largest;
+                    `exponent` of a power law through the same points
+  predicted_largest, prediction_error
+                    the fit on all but the largest size, tried on that one
+  target            the size two years out, the value predicted there, and how many times that size is the
+                    largest one measured
+
+Names: those of the slopes, or of the cases that measure several at once.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import statistics
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from benchmarks.fits import Kind, Point, choose, fit, hold_out
+from benchmarks.process import ROOT
+
+LONGEST = 900  # seconds for one run
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """Sizes at which a function of benchmarks.slope_cases is run."""
+
+    name: str
+    of: str  # what a size counts
+    sizes: tuple[int, ...]
+    quick: tuple[int, ...]
+    target: int
+    runs: int = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """One figure of a case. `kind`: where the mechanism tells it; None: chosen."""
+
+    name: str
+    case: str
+    figure: str
+    unit: str
+    kind: Kind | None = None
+
+
+DESTINATIONS = 870_000
+HELD = 2_600_000  # at one relay, at the worst
+LISTS = (1_000, 2_000, 5_000, 10_000, 20_000, 50_000)
+CASES = {
+    case.name: case
+    for case in (
+        Case("listing_change", "entries", LISTS, (200, 500, 1_000), DESTINATIONS, 7),
+        Case("listed", "entries", LISTS, (200, 500, 1_000), DESTINATIONS),
+        Case("held", "messages held", (2_000, 5_000, 10_000, 20_000), (600, 800, 1_000), HELD),
+        Case("drain", "messages held for it", (1_000, 2_000, 5_000, 10_000, 20_000), (100, 200, 400), HELD),
+    )
+}
+LINEAR = Kind.LINEAR
+SLOPES = (
+    # Every entry is walked, read or kept once: by the code these are lines. What makes new objects by the
+    # thousand also pays for collections of garbage, which look at all there are: there the kind is chosen.
+    Slope("listing_change", "listing_change", "change_us", "us", LINEAR),
+    Slope("module_memory", "listing_change", "module_bytes", "bytes", LINEAR),
+    Slope("list_memory", "listed", "list_bytes", "bytes", LINEAR),
+    Slope("list_peak", "listed", "list_peak_bytes", "bytes", LINEAR),
+    Slope("list_cpu", "listed", "list_cpu_s", "s"),
+    Slope("list_cpu_again", "listed", "again_cpu_s", "s"),
+    Slope("list_standstill", "listed", "standstill_s", "s"),
+    Slope("list_body", "listed", "body_bytes", "bytes", LINEAR),
+    Slope("held_memory", "held", "held_bytes", "bytes", LINEAR),
+    Slope("held_journal", "held", "journal_bytes", "bytes", LINEAR),
+    Slope("take_cpu", "held", "take_us", "us"),
+    Slope("beside_cpu", "held", "beside_us", "us"),
+    Slope("start_s", "held", "start_s", "s on the wall"),
+    Slope("start_cpu", "held", "start_cpu_s", "s"),
+    Slope("drain_cpu", "drain", "drain_us", "us"),
+)
+
+
+def run_once(case: str, size: int) -> dict[str, float]:
+    command = [sys.executable, "-m", "benchmarks.slope_cases", case, str(size)]
+    done = subprocess.run(
+        command, cwd=ROOT, stdout=subprocess.PIPE, text=True, check=True, timeout=LONGEST
+    )
+    told: dict[str, float] = json.loads(done.stdout.splitlines()[-1])
+    return told
+
+
+def measured(case: Case, sizes: tuple[int, ...], runs: int) -> dict[int, list[dict[str, float]]]:
+    """One process after the other: two at once would be in each other's way."""
+    return {size: [run_once(case.name, size) for _ in range(runs)] for size in sizes}
+
+
+def judged(slope: Slope, case: Case, seen: dict[int, list[dict[str, float]]]) -> dict[str, Any]:
+    """The fields of one slope."""
+    rows = {size: sorted(run[slope.figure] for run in runs) for size, runs in seen.items()}
+    points: list[Point] = [(size, statistics.median(values)) for size, values in rows.items()]
+    held = hold_out(points, slope.kind)
+    kind = slope.kind or choose(sorted(points)[:-1])
+    found = fit(points, kind)
+    return {
+        "unit": slope.unit,
+        "of": case.of,
+        "sizes": {
+            str(size): {"median": three(statistics.median(v)), "least": three(v[0]), "most": three(v[-1])}
+            for size, v in rows.items()
+        },
+        "runs": min(len(values) for values in rows.values()),
+        "fit": {
+            "kind": str(kind), "constant": three(found.constant), "slope": three(found.slope),
+            "exponent": None if found.exponent is None else round(found.exponent, 2),
+        },
+        "predicted_largest": three(held.predicted),
+        "prediction_error": round(held.error, 3),
+        "target": {
+            "size": case.target, "predicted": three(found.predict(case.target)),
+            "times_beyond": round(case.target / max(seen), 1),
+        },
+    }  # fmt: skip
+
+
+def three(value: float) -> float:
+    """Three significant digits are more than the spread allows; whole numbers stay whole."""
+    return float(f"{value:.4g}")
+
+
+def table(name: str, told: dict[str, Any]) -> str:
+    """One slope in lines for people."""
+    sizes = "; ".join(
+        f"{size}: {v['median']:g} ({v['least']:g} to {v['most']:g})" for size, v in told["sizes"].items()
+    )
+    found, target = told["fit"], told["target"]
+    law = {
+        "linear": "{constant:g} + {slope:g} x n", "n log n": "{constant:g} + {slope:g} x n log2 n",
+        "power": "{constant:g} x n^{slope:g}",
+    }[found["kind"]].format(**found)  # fmt: skip
+    return (
+        f"{name} ({told['unit']}, by {told['of']}, {told['runs']} runs)\n"
+        f"    {sizes}\n"
+        f"    {law}; exponent {found['exponent']}; largest predicted {told['predicted_largest']:g}, "
+        f"error {told['prediction_error']}\n"
+        f"    at {target['size']}: {target['predicted']:g} ({target['times_beyond']} times the largest)"
+    )
+
+
+def measure(quick: bool, only: list[str]) -> dict[str, Any]:
+    """Raises ValueError for a name that there is not."""
+    known = {*CASES, *(slope.name for slope in SLOPES)}
+    if unknown := sorted(set(only) - known):
+        raise ValueError(f"no slope is called {', '.join(unknown)}: there are {', '.join(sorted(known))}")
+    wanted = [slope for slope in SLOPES if not only or {slope.name, slope.case} & set(only)]
+    result: dict[str, Any] = {}
+    for case in CASES.values():
+        of_case = [slope for slope in wanted if slope.case == case.name]
+        if not of_case:
+            continue
+        seen = measured(case, case.quick if quick else case.sizes, 1 if quick else case.runs)
+        for slope in of_case:
+            result[slope.name] = judged(slope, case, seen)
+            print(table(slope.name, result[slope.name]), flush=True)
+    return result
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks.slopes", description=(__doc__ or "").split("\n")[0]
+    )
+    parser.add_argument("--quick", action="store_true", help="small sizes, once each")
+    parser.add_argument("--only", nargs="+", default=[], metavar="NAME")
+    asked = parser.parse_args()
+    began = time.monotonic()
+    try:
+        result = measure(asked.quick, asked.only)
+    except ValueError as error:
+        parser.error(str(error))
+    print(json.dumps({"slopes": result, "seconds": round(time.monotonic() - began, 1)}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/benchmarks/test_slopes.py
@@ -0,0 +1,41 @@
+"""The table of slopes, on made-up runs, and the cheap cases at small sizes."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks import slope_cases
+from benchmarks.slopes import CASES, SLOPES, Case, Slope, judged, measure, run_once, table
+
+
+def test_a_slope_is_judged_by_its_largest_size_and_told_at_the_target() -> None:
+    case = Case("c", "entries", (1, 2, 4), (1, 2, 4), 100)
+    seen = {size: [{"x": 10.0 * size + by} for by in (3.0, 0.0, -1.0)] for size in (1, 2, 4)}
+    seen[4] = [{"x": 50.0}] * 3  # off the line: predicted 40
+    told = judged(Slope("s", "c", "x", "us"), case, seen)
+    assert told["sizes"]["1"] == {"median": 10, "least": 9, "most": 13}
+    assert told["predicted_largest"] == 40 and told["prediction_error"] == 0.2
+    # By hand, through (1, 10), (2, 20), (4, 50): slope 95 / 7, constant 80 / 3 - 95 / 3.
+    assert told["target"] == {"size": 100, "predicted": round(9500 / 7 - 5), "times_beyond": 25}
+    assert "error 0.2" in table("s", told)
+
+
+def test_each_slope_names_a_case_and_each_case_a_function() -> None:
+    assert {slope.case for slope in SLOPES} == set(CASES) == set(slope_cases.CASES)
+    assert len({slope.name for slope in SLOPES}) == len(SLOPES)
+
+
+def test_a_name_that_there_is_not_is_told() -> None:
+    with pytest.raises(ValueError, match="no slope is called nonsense"):
+        measure(True, ["nonsense"])
+
+
+def test_a_list_is_measured_in_a_process_of_its_own() -> None:
+    told = run_once("listed", 300)
+    assert {slope.figure for slope in SLOPES if slope.case == "listed"} <= set(told)
+    assert all(value > 0 for name, value in told.items() if name not in ("list_bytes", "list_peak_bytes"))
+    assert told["standstill_s"] <= told["list_cpu_s"]
+
+
+def test_a_change_is_taken_by_the_module() -> None:
+    assert slope_cases.listing_change(50, times=8)["change_us"] > 0
