--- a/loftrelay/registry/listing.py
+++ b/loftrelay/registry/listing.py
@@ -22,6 +22,7 @@
 
 PHASES = frozenset(("Ready", "Terminating", "Gone"))
 MOST_PART = 64 << 10  # characters of one row, and of what stands beside the rows
+ENDS = frozenset(",}] \t\n\r")  # of a number or a name
 _space = re.compile(r"[ \t\n\r]*").match
 _decoder = json.JSONDecoder(parse_constant=lambda name: None)  # NaN is no JSON
 
@@ -134,7 +135,7 @@
             except json.JSONDecodeError:  # not whole, or not JSON: `feed` bounds how much is waited for
                 yield
                 continue
-            if end == len(self._text) and self._text[end - 1] not in '}]"':
+            if self._text[end - 1] not in '}]"' and self._text[end : end + 1] not in ENDS:
                 yield  # a number may go on
                 continue
             self._last, self._at = value, end
--- a/loftrelay/registry/protocol.py
+++ b/loftrelay/registry/protocol.py
@@ -120,7 +120,7 @@
 
 def _read_cells(told: Mapping[str, str], name: str) -> tuple[int, ...]:
     parts = told[name].split(",") if told.get(name) else []
-    if not all(p.isascii() and p.isdigit() and len(p) <= 16 for p in parts):
+    if not all(p.isascii() and p.isdigit() and len(p) <= 16 and int(p) <= MOST_CELL for p in parts):
         raise ProtocolError(f"{name} = {told[name][:40]!r}: is no list of destinations")
     return tuple(map(int, parts))
 
--- a/loftrelay/registry/server.py
+++ b/loftrelay/registry/server.py
@@ -255,6 +255,7 @@
             else:
                 self._say(client, protocol.UNAVAILABLE, "no list of discovery yet")
         elif path == FIGURES:
+            self.counts["pages"] += 1
             lines = [*self.lines(), *self.figures(), ""]
             client.answer(HTTPStatus.OK, "\n".join(lines).encode(), "text/plain")
         elif path == protocol.PATH:
@@ -411,6 +412,6 @@
             "woken": of.woken, "answers_200": counts["told"], "answers_400": counts["answers_400"],
             "answers_403": counts["answers_403"], "answers_410": counts["answers_410"],
             "answers_503": counts["answers_503"], "bytes_in": counts["bytes_in"],
-            "bytes_out": counts["bytes_out"],
+            "bytes_out": counts["bytes_out"], "pages": counts["pages"],
         }  # fmt: skip
         return [f"{name} {value}" for name, value in figures.items()]
