Interest: which destinations a relay asks its registries for, and what it believes

Cause: no relay is to know every destination; its side of the subscription was missing. Change: membership/interest.py decides without I/O: first messages gathered for 3 ms, sets told in pieces of 1,000, revisions per destination, count and sum by sequence number, failover in rendezvous order with full jitter, old news, discovery that counts anew, what is idle. membership/subscriber.py carries it out over two connections; core/parking.py keeps first messages in order. Not used by the engine yet. A first form looked at the preferred registry by a watch: its 410 told neither revision nor age, and the relay went back to one that was behind.

--- a/loftrelay/core/ports.py
+++ b/loftrelay/core/ports.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any, Protocol
 
 from loftrelay.core.message import Held, Remembered
 from loftrelay.net.address import Address
-from mulleinlead.interface import Result
+from mulleinlead.interface import Entry, Result
 
 
 class JournalFull(Exception):
@@ -128,8 +128,9 @@
     """The list of hosts. What it says comes by Engine.listed."""
 
     address: Address
-    revision: int | None
 
+    @property
+    def revision(self) -> int | None: ...
     def take_known(self, known: Mapping[str, Any]) -> None: ...
     def watch(self) -> None: ...
     def pause(self) -> None: ...
@@ -156,6 +157,11 @@
     def use(self, destination: int) -> None:
         """A message came for one that is held: it is not idle."""
 
+    def adopt(
+        self, revision: int | None, destinations: Iterable[int], rows: Iterable[tuple[Entry, Address]]
+    ) -> None:
+        """Before `resume`: what another process of this relay held, whole as of that revision."""
+
 
 class NoticeBoard(Protocol):
     """Where the platform is told of ends. What it has heard comes by Engine.noticed."""
--- /dev/null
+++ b/loftrelay/membership/subscriber.py
@@ -0,0 +1,214 @@
+"""The list of a relay that holds the destinations it serves alone: carries out what interest.py says."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import secrets
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any
+
+from loftrelay.core.ports import Slice
+from loftrelay.membership.caller import Caller
+from loftrelay.membership.discovery import CONNECT, PATIENCE, read_list
+from loftrelay.membership.interest import (
+    Action,
+    Call,
+    Channel,
+    HangUp,
+    Interest,
+    LetGo,
+    Row,
+    Say,
+    Sliced,
+    Tell,
+)
+from loftrelay.membership.settings import SubscriptionSettings
+from loftrelay.net.address import Address
+from loftrelay.net.http import Answer, ConnectionBroken
+from loftrelay.registry.protocol import read_answer
+from mulleinlead.interface import Form, Listing
+
+log = logging.getLogger(__name__)
+
+MOST_ERROR = 200  # bytes of a registry's line that go into the log
+HEAD = len("GET  HTTP/1.1\r\nHost: discovery\r\nContent-Length: 0\r\n\r\n")
+STATUS_LINE = len("HTTP/1.1 200 OK\r\n\r\n")
+COUNTS = (
+    "changes", "watches", "failures", "older", "overtaken", "moved", "bytes_in", "bytes_out", "cells",
+    "let_go",
+)  # fmt: skip
+
+
+class Subscriber:
+    """A Directory and a Slices. `address` is the platform's discovery: notices go there, and no list is asked
+    of it. The watch goes on by itself, with waits of its own: the module is never told that it failed."""
+
+    def __init__(
+        self,
+        told: SubscriptionSettings,
+        name: str,
+        notices: Address,
+        tell: Callable[[Listing, Mapping[str, Address]], None],
+        sliced: Callable[[int, Slice], None],
+        let_go: Callable[[Sequence[int]], list[int]],
+    ) -> None:
+        self.address = notices
+        self.tell, self.sliced, self.let_go = tell, sliced, let_go
+        self.interest = Interest(
+            told.registries, told.fleet, name, secrets.token_hex(8), told.timing, secrets.randbits(64)
+        )
+        self.counts: Counter[str] = self.interest.counts
+        self.answered = asyncio.Event()  # by a registry, since the start
+        self.callers: dict[Channel, Caller] = {}
+        self.tasks: dict[Channel, asyncio.Task[None]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.timer_at = math.inf
+        self.doing = False
+
+    @property
+    def revision(self) -> int | None:
+        return self.interest.index or None
+
+    def take_known(self, known: Mapping[str, Any]) -> None:
+        if known:
+            log.info("the known list is passed over: the registries tell what this relay serves")
+        self.tell(Listing(Form.CACHED, ()), {})
+
+    def watch(self) -> None:
+        self.interest.start(self._now())
+        self._do()
+
+    def pause(self) -> None:
+        self.interest.pause()
+        self._do()
+
+    def resume(self, revision: int | None) -> None:
+        """What was held then has been given to `adopt`."""
+        self.watch()
+
+    def adopt(self, revision: int | None, destinations: Iterable[int], rows: Iterable[Row]) -> None:
+        self.interest.adopt(self._now(), revision, destinations, rows)
+
+    def move(self, address: Address) -> None:
+        """Of notices alone."""
+        self.address = address
+
+    def close(self) -> None:
+        self.pause()
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def want(self, destination: int) -> None:
+        self.interest.want(self._now(), destination)
+        self._do()
+
+    def use(self, destination: int) -> None:
+        self.interest.use(self._now(), destination)
+
+    def figure_lines(self) -> list[str]:
+        """For the door, in the form of the others."""
+        interest = self.interest
+        told = {
+            "held": sum(cell.hosts is not None for cell in interest.cells.values()),
+            "wanted": len(interest.wants),
+            "hosts": len(interest.where),
+            "registry": interest.place,
+            **{name: self.counts[name] for name in COUNTS},
+        }
+        return [f"app.slices_{name}={value}" for name, value in told.items()]
+
+    # What interest.py says
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    def _do(self) -> None:
+        if self.doing:
+            return  # the engine asks while it is told: that comes next
+        self.doing = True
+        try:
+            while actions := self.interest.take():
+                for action in actions:
+                    self._do_one(action)
+        finally:
+            self.doing = False
+            self._set_timer()
+        if self.interest.answered:
+            self.answered.set()
+
+    def _do_one(self, action: Action) -> None:
+        match action:
+            case Call():
+                self.tasks[action.channel] = asyncio.create_task(self._ask(action))
+            case HangUp():
+                self._hang_up()
+            case Tell(rows):
+                entries = tuple(entry for entry, _ in rows)
+                self.tell(Listing(Form.CHANGES, entries), {e.endpoint: at for e, at in rows})
+            case Sliced(destination, state):
+                self.sliced(destination, state)
+            case LetGo(destinations):
+                self.interest.let_go(self._now(), destinations, self.let_go(destinations))
+            case Say(text):
+                log.info("%s", text)
+
+    def _set_timer(self) -> None:
+        due = self.interest.due
+        if due != self.timer_at:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer, self.timer_at = None, due
+            if due < math.inf:
+                self.timer = asyncio.get_running_loop().call_at(due, self._tick, due)
+
+    def _tick(self, due: float) -> None:
+        self.timer, self.timer_at = None, math.inf
+        self.interest.tick(max(due, self._now()))
+        self._do()
+
+    def _hang_up(self) -> None:
+        for task in self.tasks.values():
+            task.cancel()
+        self.tasks.clear()
+        for caller in self.callers.values():
+            caller.close()
+        self.callers.clear()
+
+    async def _ask(self, call: Call) -> None:
+        caller = self.callers.get(call.channel)
+        if caller is None or caller.address != call.registry:
+            if caller is not None:
+                caller.close()
+            caller = self.callers[call.channel] = Caller(call.registry)
+        self.counts["bytes_out"] += len(call.target) + HEAD
+        try:
+            answer = await caller.ask("GET", call.target, call.wait + PATIENCE, connect=CONNECT)
+            self.counts["bytes_in"] += _size(answer)
+            if answer.status != 200:
+                text = answer.body[:MOST_ERROR].decode(errors="replace").strip()
+                self.interest.refused(self._now(), call.number, answer.status, text)
+            else:
+                told = read_answer(answer.body)
+                row = {"revision": told.revision, "complete": False, "members": told.members}
+                rows = read_list(row)[2]
+                self.interest.heard(self._now(), call.number, told, rows)
+            self._do()
+        except (OSError, ConnectionBroken) as error:
+            self.interest.failed(self._now(), call.number, f"does not answer: {error!r}")
+        except (ValueError, RecursionError) as error:
+            self.interest.failed(self._now(), call.number, f"answers what can't be read: {error}")
+        except Exception:
+            # A fault of the program: without a further call the relay would never hear of a drain again.
+            log.exception("a call to a registry failed")
+            self.interest.spoilt(self._now())
+        self._do()
+
+
+def _size(answer: Answer) -> int:
+    """Bytes of an answer, near enough."""
+    headers = sum(len(name) + len(value) + 4 for name, value in answer.headers.items())
+    return STATUS_LINE + headers + len(answer.body)
--- /dev/null
+++ b/tests/membership/registries.py
@@ -0,0 +1,278 @@
+"""A world of registries in virtual time, by the rules of docs/slices.md and with none of the program's own
+code but the calls: for tests of what a relay believes."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from loftrelay.core.ports import Slice
+from loftrelay.membership.interest import (
+    Action,
+    Call,
+    Channel,
+    HangUp,
+    Interest,
+    LetGo,
+    Row,
+    Say,
+    Sliced,
+    Tell,
+    Timing,
+)
+from loftrelay.net.address import Address
+from loftrelay.registry.protocol import GONE, UNAVAILABLE, Answer, Change, Watch, checksum, read_target
+from mulleinlead.interface import Entry, State
+
+PATIENCE = 2.2  # seconds for an answer beyond a call's own wait
+FLEET = "windwacht"
+TIMING = Timing()
+BROKEN = 0  # in place of a status: the connection ended
+
+
+@dataclass
+class List:
+    """Discovery's, with all that was ever in it."""
+
+    revision: int = 1
+    rows: dict[str, tuple[Row, int]] = field(default_factory=dict)  # host -> its row, and when it changed
+
+    def set(self, host: str, cell: int, state: State) -> None:
+        self.revision += 1
+        number = int(host.rpartition("h")[2]) if "h" in host else 0
+        entry = Entry(host, cell, state, None, None, float(self.revision))
+        self.rows[host] = (entry, ("10.0.0.1", 1024 + number)), self.revision
+
+    def copy(self) -> List:
+        return List(self.revision, dict(self.rows))
+
+    def of(self, cell: int) -> dict[str, Row]:
+        told = (row for row, _ in self.rows.values())
+        return {r[0].endpoint: r for r in told if r[0].destination == cell and r[0].state is not State.GONE}
+
+
+class Registry:
+    """Holds a copy of the list, as fresh as `hear` makes it."""
+
+    def __init__(self, address: Address, fleet: str = FLEET) -> None:
+        self.address, self.fleet = address, fleet
+        self.list: List | None = None
+        self.heard = 0.0
+        self.sets: dict[str, tuple[set[int], int]] = {}
+        self.waiting: list[tuple[Watch, Callable[[Answer | int], None]]] = []
+        self.up = True  # False: its process stands still, calls wait unread
+        self.dead = False  # connections are refused
+        self.unread: list[tuple[str, Callable[[Answer | int], None]]] = []
+        self.calls: list[str] = []
+
+    def hear(self, now: float, told: List) -> None:
+        if self.up:
+            self.list, self.heard = told.copy(), now
+            self.wake(now)
+
+    def wake(self, now: float) -> None:
+        waiting, self.waiting = self.waiting, []
+        for watch, done in waiting:
+            self._watch(now, watch, done)
+
+    def start_anew(self) -> None:
+        self.sets.clear()
+        waiting, self.waiting = self.waiting, []
+        for _, done in waiting:
+            done(BROKEN)
+
+    def resume(self, now: float) -> None:
+        self.up = True
+        unread, self.unread = self.unread, []
+        for text, done in unread:
+            self.ask(now, text, done)
+
+    def ask(self, now: float, text: str, done: Callable[[Answer | int], None]) -> None:
+        if not self.up:
+            self.unread.append((text, done))
+            return
+        self.calls.append(text)
+        call = read_target(text)
+        if self.list is None:
+            done(UNAVAILABLE)
+        elif isinstance(call, Change):
+            done(self._change(now, call))
+        else:
+            self._watch(now, call, done)
+
+    def _change(self, now: float, call: Change) -> Answer | int:
+        assert self.list is not None
+        cells, seq = self.sets.get(call.subscriber, (None, 0))
+        if call.reset:
+            cells = set()
+        if cells is None or call.seq <= seq:
+            return GONE
+        cells -= set(call.drop)
+        cells |= {*call.add, *call.have}
+        self.sets[call.subscriber] = cells, call.seq
+        changed = {row[0].destination for row, at in self.list.rows.values() if at > call.index}
+        whole = [*call.add, *(cell for cell in call.have if cell in changed or not call.index)]
+        return self._answer(now, call.subscriber, whole, [r for c in whole for r in self.list.of(c).values()])
+
+    def _watch(self, now: float, watch: Watch, done: Callable[[Answer | int], None]) -> None:
+        assert self.list is not None
+        if watch.subscriber not in self.sets:
+            done(GONE)
+            return
+        cells = self.sets[watch.subscriber][0]
+        changed = [
+            row for row, at in self.list.rows.values() if at > watch.index and row[0].destination in cells
+        ]
+        if changed or not watch.wait:
+            done(self._answer(now, watch.subscriber, [], changed))
+        else:
+            self.waiting.append((watch, done))
+
+    def time_out(self, now: float, done: Callable[[Answer | int], None]) -> None:
+        for watch, waits in list(self.waiting):
+            if waits is done and self.up:
+                self.waiting.remove((watch, waits))
+                if watch.subscriber in self.sets:
+                    done(self._answer(now, watch.subscriber, [], []))
+                else:
+                    done(GONE)
+
+    def _answer(self, now: float, subscriber: str, whole: list[int], rows: list[Row]) -> Answer:
+        assert self.list is not None
+        cells, seq = self.sets[subscriber]
+        age = int((now - self.heard) * 1000)
+        return Answer(
+            self.fleet, self.list.revision, age, seq, len(cells), checksum(cells), tuple(whole), rows
+        )  # fmt: skip
+
+
+class Relay:
+    """One Interest against registries, with the time and the net in the hands of the test."""
+
+    def __init__(
+        self, registries: list[Registry], timing: Timing = TIMING, seed: int = 1, name: str = "n1"
+    ) -> None:
+        self.registries = {registry.address: registry for registry in registries}
+        self.random = random.Random(seed)
+        self.interest = Interest([r.address for r in registries], FLEET, name, f"{seed:x}", timing, seed)
+        self.now = 0.0
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.number = 0
+        self.hosts: dict[int, dict[str, Row]] = {}  # the engine's list
+        self.sliced: list[tuple[int, Slice, float]] = []
+        self.busy: set[int] = set()  # that the engine does not let go
+        self.offered: list[int] = []
+        self.lines: list[str] = []
+        self.calls: list[tuple[float, Call]] = []
+        self.delay = 0.001  # seconds each way: at the most
+        self.loss = self.doubled = 0.0
+
+    @property
+    def first(self) -> Registry:
+        """The registry in use."""
+        return self.registries[self.interest.order[self.interest.place].address]
+
+    def at(self, time: float, what: Callable[[], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.queue, (max(time, self.now), self.number, what))
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds
+        self.do()
+        while True:
+            due = self.interest.due
+            at = min(due, self.queue[0][0] if self.queue else due)
+            if at > end:
+                break
+            self.now = max(self.now, at)
+            if self.queue and self.queue[0][0] <= self.now:
+                heapq.heappop(self.queue)[2]()
+            else:
+                self.interest.tick(self.now)
+            self.do()
+        self.now = end
+
+    def do(self) -> None:
+        while actions := self.interest.take():
+            for action in actions:
+                self._do(action)
+
+    def _do(self, action: Action) -> None:
+        match action:
+            case Call():
+                self._call(action)
+            case Tell(rows):
+                for row in rows:
+                    self._row(row)
+            case Sliced(cell, state):
+                self.sliced.append((cell, state, self.now))
+            case LetGo(cells):
+                self.offered += cells
+                gone = [cell for cell in cells if cell not in self.busy]
+                for cell in gone:
+                    self.hosts.pop(cell, None)
+                self.interest.let_go(self.now, cells, gone)
+            case Say(text):
+                self.lines.append(text)
+            case HangUp():
+                pass  # what comes on hung-up connections all the same is no longer believed
+
+    def _row(self, row: Row) -> None:
+        entry = row[0]
+        hosts = self.hosts.setdefault(entry.destination, {})
+        if entry.state is State.GONE:
+            del hosts[entry.endpoint]  # nothing is told as gone that was not there
+        else:
+            hosts[entry.endpoint] = row
+
+    def _call(self, call: Call) -> None:
+        self.calls.append((self.now, call))
+        registry, interest = self.registries[call.registry], self.interest
+        over = False
+
+        def fail(why: str) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                interest.failed(self.now, call.number, why)
+
+        def answered(told: Answer | int) -> None:
+            if self.random.random() < self.loss:
+                return
+            times = 2 if self.random.random() < self.doubled else 1
+            for _ in range(times):
+                self.at(self.now + self.random.uniform(0, self.delay), lambda: hear(told))
+
+        def hear(told: Answer | int) -> None:
+            nonlocal over
+            over = True  # a doubled one still comes: the interest has to know
+            if told == BROKEN:
+                interest.failed(self.now, call.number, "broken")
+            elif isinstance(told, int):
+                interest.refused(self.now, call.number, told, "no")
+            else:
+                interest.heard(self.now, call.number, told, tuple(told.members))
+
+        def arrive() -> None:
+            if registry.dead:
+                fail("refused")
+            elif self.random.random() >= self.loss:
+                registry.ask(self.now, call.target, answered)
+                if call.wait:
+                    self.at(self.now + call.wait, lambda: registry.time_out(self.now, answered))
+
+        self.at(self.now + self.random.uniform(0, self.delay), arrive)
+        limit = call.wait + PATIENCE if call.channel is not Channel.LOOK else PATIENCE
+        self.at(self.now + limit, lambda: fail("no answer"))
+
+    def holds(self, told: List) -> bool:
+        """Whether what the engine has equals the list, for all that it asked for."""
+        cells = {cell for cell, about in self.interest.cells.items() if about.hosts is not None}
+        return all(self.hosts.get(cell, {}) == told.of(cell) for cell in cells)
+
+    def want(self, *cells: int) -> None:
+        for cell in cells:
+            self.interest.want(self.now, cell)
+        self.do()
--- /dev/null
+++ b/tests/membership/test_interest.py
@@ -0,0 +1,532 @@
+"""What a relay asks of its registries, and what it believes of their answers, in virtual time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from loftrelay.core.ports import Slice
+from loftrelay.membership.interest import RETURN, Channel, Mode, Timing, preference
+from loftrelay.registry.protocol import MOST_CELLS, Change, Watch, read_target
+from mulleinlead.interface import State
+from tests.membership.registries import FLEET, List, Registry, Relay
+
+PLACES = [("10.0.0.1", 7500), ("10.0.0.2", 7500), ("10.0.0.3", 7500)]
+
+
+def make(number: int = 2, cells: int = 3, **timing: float) -> tuple[List, list[Registry], Relay]:
+    """A list with one host in each cell, registries that know it, and a relay that has found one of them."""
+    told = List()
+    for cell in range(1, cells + 1):
+        told.set(f"h{cell}", cell, State.LISTED)
+    registries = [Registry(place) for place in PLACES[:number]]
+    for registry in registries:
+        registry.hear(0.0, told)
+    relay = Relay(registries, Timing(**timing))  # type: ignore[arg-type]
+    relay.interest.start(0.0)
+    relay.run(0.1)
+    assert relay.interest.mode is Mode.WATCHING
+    return told, registries, relay
+
+
+def tell(relay: Relay, told: List) -> None:
+    for registry in relay.registries.values():
+        registry.hear(relay.now, told)
+
+
+def changes(relay: Relay, since: float = 0.0) -> list[Change]:
+    calls = [read_target(c.target) for at, c in relay.calls if at >= since and c.channel is Channel.CHANGES]
+    return [call for call in calls if isinstance(call, Change)]
+
+
+# First messages
+
+
+def test_first_messages_are_gathered_into_one_call_and_their_destinations_held() -> None:
+    told, _, relay = make()
+    before = relay.now
+    relay.want(1, 2)
+    relay.run(0.001)
+    relay.want(3, 1)
+    relay.run(0.01)
+    assert [c.add for c in changes(relay, before)] == [(1, 2, 3)]
+    assert sorted(s[:2] for s in relay.sliced) == [(1, Slice.HELD), (2, Slice.HELD), (3, Slice.HELD)]
+    assert relay.holds(told) and len(relay.hosts) == 3
+
+
+def test_a_destination_that_nobody_lists_is_empty_until_it_has_a_host() -> None:
+    told, _, relay = make()
+    relay.want(9)
+    relay.run(0.05)
+    asked = len(changes(relay))
+    relay.want(9)
+    relay.run(0.05)
+    assert [s[:2] for s in relay.sliced] == [(9, Slice.EMPTY)] * 2 and len(changes(relay)) == asked
+    told.set("h9", 9, State.LISTED)
+    tell(relay, told)
+    relay.run(0.05)
+    assert list(relay.hosts[9]) == ["h9"]
+    relay.want(9)
+    relay.run(0.01)
+    assert relay.sliced[-1][:2] == (9, Slice.HELD)
+
+
+@pytest.mark.parametrize("dead", [True, False])
+def test_first_messages_with_all_registries_away_hear_so_in_time_and_are_held_once_one_is_back(
+    dead: bool,
+) -> None:
+    told, registries, relay = make(wait=0.2)
+    for registry in registries:
+        registry.dead, registry.up = dead, dead  # dead, or standing still
+    relay.run(5.0)  # the watch has found out
+    began = relay.now
+    relay.want(1)
+    relay.run(1.0)
+    ((cell, state, at),) = relay.sliced
+    assert (cell, state) == (1, Slice.AWAY) and at - began == pytest.approx(0.2, abs=0.001)
+    for registry in registries:
+        registry.dead = False
+        registry.resume(relay.now)
+    relay.run(5.0)
+    assert relay.holds(told) and list(relay.hosts[1]) == ["h1"]
+    assert len(relay.sliced) == 1  # once for each that wanted it
+
+
+def test_a_wait_is_not_prolonged_by_asking_again() -> None:
+    _, registries, relay = make(number=1, wait=0.2)
+    registries[0].up = False
+    for _ in range(3):
+        relay.want(1)
+        relay.run(0.06)
+    relay.run(0.03)
+    assert [s[:2] for s in relay.sliced] == [(1, Slice.AWAY)]
+
+
+# Changes
+
+
+def test_a_drain_an_end_and_a_new_host_are_told_as_they_come() -> None:
+    told, _, relay = make()
+    relay.want(1, 2)
+    relay.run(0.1)
+    told.set("h1", 1, State.DRAINING)
+    told.set("h2", 2, State.GONE)
+    told.set("h4", 2, State.LISTED)
+    told.set("h3", 3, State.DRAINING)  # of no interest
+    tell(relay, told)
+    relay.run(0.06)
+    assert relay.hosts[1]["h1"][0].state is State.DRAINING and list(relay.hosts[2]) == ["h4"]
+    assert relay.holds(told) and set(relay.hosts) == {1, 2}
+    told.set("h1", 1, State.GONE)
+    tell(relay, told)
+    relay.run(0.06)
+    assert relay.hosts[1] == {}  # nobody serves it, and the relay goes on knowing that
+    told.set("h1", 1, State.LISTED)
+    tell(relay, told)
+    relay.run(0.06)
+    assert list(relay.hosts[1]) == ["h1"]
+
+
+def test_a_host_that_leaves_one_destination_for_another_is_gone_there_first() -> None:
+    told, _, relay = make()
+    relay.want(1, 2)
+    relay.run(0.1)
+    told.set("h1", 2, State.LISTED)
+    tell(relay, told)
+    relay.run(0.06)
+    assert relay.hosts[1] == {} and sorted(relay.hosts[2]) == ["h1", "h2"] and relay.holds(told)
+
+
+def test_a_cell_told_while_a_watch_overtakes_it_is_asked_for_again() -> None:
+    """The watch's answer told the change of a cell that was not held yet: the older whole cell is not
+    taken."""
+    told, registries, relay = make(number=1)
+    interest = relay.interest
+    relay.interest.want(relay.now, 1)
+    interest.tick(relay.now + 0.003)
+    (call,) = [a for a in interest.take() if getattr(a, "channel", None) is Channel.CHANGES]
+    late: list[object] = []
+    registries[0].ask(relay.now, call.target, late.append)  # type: ignore[union-attr]
+    told.set("h1", 1, State.DRAINING)
+    tell(relay, told)  # answers the watch
+    relay.run(0.01)
+    assert interest.index == told.revision and relay.hosts == {}
+    interest.heard(relay.now, call.number, late[0], tuple(late[0].members))  # type: ignore[union-attr, arg-type, attr-defined]
+    relay.run(0.1)
+    assert interest.counts["overtaken"] == 1
+    assert relay.hosts[1]["h1"][0].state is State.DRAINING and relay.sliced[0][:2] == (1, Slice.HELD)
+
+
+# Which registry
+
+
+def test_relays_spread_over_registries_and_move_only_from_the_one_that_goes() -> None:
+    names = [f"relay-{number}" for number in range(2400)]
+    first = {name: preference(name, PLACES)[0] for name in names}
+    shares = Counter(first.values())
+    assert all(700 < shares[place] < 900 for place in PLACES)
+    after = {name: preference(name, PLACES[:2])[0] for name in names}
+    assert all(after[name] == first[name] for name in names if first[name] != PLACES[2])
+
+
+def test_a_registry_that_dies_in_the_midst_of_a_watch_loses_no_change() -> None:
+    told, _, relay = make()
+    relay.want(1)
+    relay.run(0.1)
+    first = relay.first
+    first.dead = True
+    first.start_anew()
+    told.set("h1", 1, State.DRAINING)
+    tell(relay, told)
+    relay.run(0.1)
+    assert relay.first is not first and relay.hosts[1]["h1"][0].state is State.DRAINING
+
+
+def test_a_registry_that_stands_still_is_left_within_the_bound_and_its_late_word_does_no_harm() -> None:
+    told, _, relay = make()
+    relay.want(1)
+    relay.run(0.1)
+    first, began = relay.first, relay.now
+    first.up = False
+    told.set("h1", 1, State.DRAINING)
+    tell(relay, told)
+    relay.run(2.0 + 2.2 + 0.1)
+    assert relay.first is not first and relay.hosts[1]["h1"][0].state is State.DRAINING
+    first.resume(relay.now)  # with the list as it was: it answers all that it had not read
+    looks = 0
+    while relay.now < began + RETURN * 3:
+        relay.first.hear(relay.now, told)
+        relay.run(1.0)
+        assert relay.hosts[1]["h1"][0].state is State.DRAINING and relay.first is not first
+        looks = sum(call.channel is Channel.LOOK for _, call in relay.calls)
+    assert looks  # it was seen to be there, and behind
+    while relay.first is not first:
+        tell(relay, told)
+        relay.run(1.0)
+        assert relay.now < began + RETURN * 20
+    assert relay.holds(told)
+
+
+def test_where_two_disagree_the_later_revision_holds() -> None:
+    told, registries, relay = make()
+    relay.want(1)
+    relay.run(0.1)
+    told.set("h1", 1, State.GONE)
+    told.set("h5", 1, State.LISTED)
+    first = relay.first
+    first.hear(relay.now, told)
+    relay.run(0.1)
+    assert list(relay.hosts[1]) == ["h5"]
+    other = next(registry for registry in registries if registry is not first)
+    first.dead = True
+    first.start_anew()
+    relay.run(3.0)
+    assert list(relay.hosts[1]) == ["h5"] and relay.interest.counts["older"] >= 1
+    other.hear(relay.now, told)
+    relay.run(2.0)
+    assert relay.first is other and relay.interest.mode is Mode.WATCHING
+
+
+def test_where_all_registries_tell_older_revisions_the_slice_is_taken_anew() -> None:
+    """Discovery counts anew. Until that is sure, the relay goes on by what it has."""
+    told, _, relay = make(stale=6.0)
+    for _ in range(20):
+        told.set("h1", 1, State.LISTED)
+    tell(relay, told)
+    relay.want(1, 2)
+    relay.run(0.1)
+    anew = List()
+    anew.set("h7", 1, State.LISTED)  # and nobody for 2
+    tell(relay, anew)
+    for registry in relay.registries.values():
+        registry.start_anew()
+    began = relay.now
+    relay.run(6.0)
+    assert list(relay.hosts[1]) == ["h1"] and list(relay.hosts[2]) == ["h2"]
+    relay.run(5.0)
+    assert list(relay.hosts[1]) == ["h7"] and relay.hosts[2] == {} and relay.holds(anew)
+    assert sum("taken anew" in line for line in relay.lines) == 1 and relay.now - began < 12
+
+
+def test_old_news_makes_a_relay_try_another_once_in_a_while_and_stay_with_the_freshest() -> None:
+    told, _, relay = make(number=3, stale=6.0)
+    relay.want(1)
+    relay.run(0.1)
+    first, moved = relay.first, relay.interest.counts["moved"]
+    for _ in range(30):  # the one in use hears nothing of discovery any more, the others do
+        for registry in relay.registries.values():
+            if registry is not first:
+                registry.hear(relay.now, told)
+        relay.run(1.0)
+    assert relay.first is not first and relay.interest.counts["moved"] - moved <= 2
+    began = relay.now  # discovery is away from all
+    relay.run(120.0)
+    ages = [registry.heard for registry in relay.registries.values()]
+    assert relay.first.heard == max(ages)
+    assert relay.interest.counts["moved"] - moved <= (relay.now - began) / 6.0
+    assert list(relay.hosts[1]) == ["h1"]
+
+
+def test_relays_go_back_to_a_registry_that_is_there_again_spread_over_time() -> None:
+    backs = []
+    for number in range(40):
+        told = List()
+        told.set("h1", 1, State.LISTED)
+        registries = [Registry(place) for place in PLACES]
+        relay = Relay(registries, seed=number)
+        tell(relay, told)
+        relay.interest.start(0.0)
+        relay.run(0.1)
+        first = relay.first
+        first.dead = True
+        first.start_anew()
+        relay.run(3.0)
+        assert relay.first is not first
+        first.dead = False
+        while relay.first is not first:
+            relay.run(0.5)
+            for registry in registries:
+                registry.hear(relay.now, told)
+            assert relay.now < 60
+        backs.append(relay.now)
+    assert max(backs) - min(backs) > RETURN * 0.6
+    assert max(Counter(int(back) for back in backs).values()) <= 8
+
+
+def test_with_all_away_tries_grow_rarer_up_to_a_bound() -> None:
+    _, registries, relay = make(number=2)
+    for registry in registries:
+        registry.dead = True
+        registry.start_anew()
+    relay.run(10.0)
+    began, calls = relay.now, len(relay.calls)
+    relay.run(60.0)
+    # Two calls each round; with full jitter a rest of up to 2 s is 1 s long in the middle.
+    assert 60 <= len(relay.calls) - calls <= 200 and relay.now > began
+
+
+def test_another_fleet_is_not_believed_and_said_in_one_line() -> None:
+    told = List()
+    told.set("h1", 1, State.LISTED)
+    registry = Registry(PLACES[0], fleet="other")
+    registry.hear(0.0, told)
+    relay = Relay([registry])
+    relay.interest.start(0.0)
+    relay.want(1)
+    relay.run(20.0)
+    assert relay.hosts == {} and [s[1] for s in relay.sliced] == [Slice.AWAY]
+    assert relay.lines == [f"registry 10.0.0.1:7500 serves the fleet 'other', not {FLEET}"]
+
+
+# Sets
+
+
+def test_a_registry_that_lost_the_set_is_told_it_anew_in_pieces_and_tells_what_changed_alone() -> None:
+    told, registries, relay = make(number=1, cells=2500)
+    relay.want(*range(1, 2501))
+    relay.run(0.1)
+    assert relay.holds(told) and len(relay.hosts) == 2500
+    told.set("h7", 7, State.DRAINING)
+    registries[0].start_anew()
+    registries[0].hear(relay.now, told)
+    before, cells = relay.now, relay.interest.counts["cells"]
+    relay.run(2.5)
+    pieces = changes(relay, before)
+    assert [len(p.have) for p in pieces] == [MOST_CELLS, MOST_CELLS, 500] and not any(p.add for p in pieces)
+    assert [p.reset for p in pieces] == [True, False, False]
+    assert relay.interest.counts["cells"] - cells == 1 and relay.holds(told)
+    assert relay.hosts[7]["h7"][0].state is State.DRAINING
+
+
+def test_a_set_that_differs_is_told_anew() -> None:
+    told, registries, relay = make(number=1)
+    relay.want(1, 2)
+    relay.run(0.1)
+    cells, seq = registries[0].sets[relay.interest.subscriber]
+    cells.discard(2)  # as many as a set with another in its place: the sum tells
+    cells.add(3)
+    told.set("h2", 2, State.DRAINING)
+    registries[0].hear(relay.now, told)
+    relay.run(2.2)
+    assert relay.holds(told) and registries[0].sets[relay.interest.subscriber][0] == {1, 2}
+    assert seq < registries[0].sets[relay.interest.subscriber][1]
+
+
+def test_what_is_idle_is_let_go_and_dropped_in_one_call_and_what_is_in_use_stays() -> None:
+    told, registries, relay = make(number=1, cells=50, idle=10.0)
+    relay.want(*range(1, 51))
+    relay.run(5.0)
+    relay.interest.use(relay.now, 1)
+    relay.busy = {2, 3}
+    before = relay.now
+    relay.run(7.5)
+    assert sorted(relay.hosts) == [1, 2, 3] and sorted(relay.offered) == list(range(2, 51))
+    dropped = [call.drop for call in changes(relay, before) if call.drop]
+    assert [sorted(drop) for drop in dropped] == [list(range(4, 51))]
+    assert registries[0].sets[relay.interest.subscriber][0] == {1, 2, 3}
+    relay.busy = set()
+    relay.run(12.0)
+    assert relay.hosts == {} and registries[0].sets[relay.interest.subscriber][0] == set()
+    relay.want(1)
+    relay.run(0.1)
+    assert relay.holds(told) and list(relay.hosts) == [1]
+
+
+def test_over_the_most_those_used_least_lately_are_let_go() -> None:
+    _, _, relay = make(number=1, cells=40, most=20)
+    for cell in range(1, 41):
+        relay.want(cell)
+        relay.run(0.1)
+    relay.run(1.5)
+    assert sorted(relay.hosts) == list(range(21, 41))
+
+
+def test_one_let_go_and_wanted_before_the_registry_heard_is_held_again() -> None:
+    told, registries, relay = make(number=1, idle=10.0)
+    relay.want(1)
+    relay.run(10.2)
+    assert relay.hosts == {}
+    relay.want(1)
+    relay.run(0.1)
+    assert relay.holds(told) and list(relay.hosts) == [1]
+    relay.run(3.0)
+    assert registries[0].sets[relay.interest.subscriber][0] == {1}
+    told.set("h1", 1, State.DRAINING)
+    tell(relay, told)
+    relay.run(0.1)
+    assert relay.hosts[1]["h1"][0].state is State.DRAINING
+
+
+def test_the_next_process_goes_on_with_the_slice() -> None:
+    told, registries, relay = make(number=1)
+    relay.want(1, 2)
+    relay.run(0.1)
+    relay.interest.pause()
+    relay.do()
+    told.set("h2", 2, State.DRAINING)
+    tell(relay, told)
+    after = Relay(registries, seed=2)
+    after.now = relay.now
+    rows = [row for hosts in relay.hosts.values() for row in hosts.values()]
+    after.interest.adopt(after.now, relay.interest.index, list(relay.hosts), rows)
+    after.hosts = relay.hosts
+    after.interest.start(after.now)
+    after.run(0.1)
+    assert after.holds(told) and after.hosts[2]["h2"][0].state is State.DRAINING
+    (piece,) = changes(after)
+    assert piece.have == (1, 2) and not piece.add and after.interest.counts["cells"] == 1
+
+
+def test_a_pause_asks_nothing_and_misses_nothing() -> None:
+    told, _, relay = make()
+    relay.want(1)
+    relay.run(0.1)
+    relay.interest.pause()
+    relay.do()
+    calls = len(relay.calls)
+    relay.want(2)
+    relay.run(1.0)
+    assert len(relay.calls) == calls and relay.sliced[-1][:2] == (2, Slice.AWAY)
+    told.set("h1", 1, State.DRAINING)
+    tell(relay, told)
+    relay.interest.start(relay.now)
+    relay.run(0.1)
+    assert relay.holds(told) and set(relay.hosts) == {1, 2}
+
+
+def test_a_watch_that_is_answered_at_once_is_no_busy_loop() -> None:
+    told, registries, relay = make(number=1)
+    relay.want(1)
+    relay.run(0.1)
+    before = relay.interest.counts["watches"]
+    for _ in range(1000):
+        told.set("h1", 1, State.LISTED)
+        registries[0].hear(relay.now, told)
+        relay.run(0.001)
+    assert relay.interest.counts["watches"] - before <= 1.0 / 0.05 + 2
+    assert all(isinstance(read_target(c.target), Watch | Change) for _, c in relay.calls)
+
+
+# All of it at once
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 1 << 30),
+    number=st.integers(1, 3),
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(
+                ["want", "want", "set", "set", "hear", "stop", "go", "die", "live", "lose", "pause", "lag"]
+            ),
+            st.integers(0, 1000),
+            st.floats(0.0, 3.0),
+        ),
+        max_size=40,
+    ),
+)
+def test_after_any_schedule_of_faults_the_slice_is_the_list(
+    seed: int, number: int, steps: list[tuple[str, int, float]]
+) -> None:
+    """Answers are lost, doubled, late and out of order; registries stand still, die, forget and lag."""
+    chance = random.Random(seed)
+    told = List()
+    registries = [Registry(place) for place in PLACES[:number]]
+    relay = Relay(registries, Timing(idle=20.0, most=6), seed)
+    relay.delay, relay.loss, relay.doubled = 0.5, 0.1, 0.2
+    for registry in registries:
+        registry.hear(0.0, told)
+    relay.interest.start(0.0)
+    for what, which, wait in steps:
+        registry = registries[which % number]
+        if what == "want":
+            relay.want(1 + which % 8)
+        elif what == "set":
+            states = [State.LISTED, State.LISTED, State.DRAINING, State.GONE]
+            told.set(f"h{which % 12}", 1 + chance.randrange(8), chance.choice(states))
+            for one in registries:
+                if chance.random() < 0.7:
+                    one.hear(relay.now, told)
+        elif what == "hear":
+            registry.hear(relay.now, told)
+        elif what == "stop":
+            registry.up = False
+        elif what == "go":
+            registry.resume(relay.now)
+        elif what in ("die", "live"):
+            registry.dead = what == "die"
+            registry.start_anew()
+        elif what == "lose":
+            registry.start_anew()
+        elif what == "pause":
+            relay.interest.pause()
+            relay.do()
+            relay.run(wait)
+            relay.interest.start(relay.now)
+        relay.run(wait)
+    relay.loss = relay.doubled = 0.0
+    relay.delay = 0.01
+    for registry in registries:
+        registry.dead = False
+        registry.resume(relay.now)
+        registry.hear(relay.now, told)
+    wanted = len(relay.sliced)
+    for _ in range(12):
+        for registry in registries:
+            registry.hear(relay.now, told)
+        relay.run(1.0)
+    assert relay.interest.mode is Mode.WATCHING and relay.interest.index == told.revision
+    relay.want(1, 2, 3)
+    relay.run(0.15)
+    for registry in registries:
+        registry.hear(relay.now, told)
+    relay.run(0.1)
+    assert relay.holds(told) and {1, 2, 3} <= set(relay.interest.cells)
+    assert {s[0] for s in relay.sliced[wanted:]} >= {1, 2, 3}
+    assert relay.first.sets[relay.interest.subscriber][0] == relay.interest.told
+    where = {host: cell for cell, hosts in relay.hosts.items() for host in hosts}
+    assert where == relay.interest.where
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -29,6 +29,7 @@
 PURE = {
     "delivery/pools.py",
     "record/rules.py",
+    "core/parking.py",
     "core/ports.py",
     "core/pulse.py",
     "core/message.py",
@@ -45,6 +46,7 @@
     "fleet/verdicts.py",
     "fleet/wire.py",
     "lab/links.py",
+    "membership/interest.py",
     "registry/protocol.py",
 }
 INPUT_OUTPUT = {"asyncio", "socket", "os", "select", "time", "pathlib", "threading", "subprocess"}
