--- a/loftrelay/__main__.py
+++ b/loftrelay/__main__.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:  # what an operator's file asks for is loaded with it: a start should cost little
     from loftrelay.fleet.settings import FleetSettings
+    from loftrelay.membership.settings import SubscriptionSettings
     from loftrelay.record.settings import RecordSettings
 
 log = logging.getLogger("loftrelay")
@@ -45,9 +46,13 @@
 
 
 async def serve(
-    config: Config, connections: Limits, record: RecordSettings | None, fleet: FleetSettings | None
+    config: Config,
+    connections: Limits,
+    record: RecordSettings | None,
+    fleet: FleetSettings | None,
+    subscription: SubscriptionSettings | None,
 ) -> None:
-    service = Service(config, connections, record, fleet)
+    service = Service(config, connections, record, fleet, subscription)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.terminate)
@@ -77,6 +82,11 @@
         help="the relays that this one knows (as deploy/fleet.toml); needs the extra `fleet`; without it "
         "none. RELAY_FLEET_LISTEN goes before its `listen`",
     )  # fmt: skip
+    about.add_argument(
+        "--subscription", type=Path, metavar="FILE",
+        help="the registries that tell this relay the destinations it serves (as deploy/subscription.toml); "
+        "without it discovery tells all",
+    )  # fmt: skip
     return about
 
 
@@ -107,7 +117,7 @@
         return registry.main(given[1:])
     asked = parser().parse_args(given)
     start_log()
-    connections, record, fleet = Limits(), None, None
+    connections, record, fleet, subscription = Limits(), None, None, None
     try:
         config = load_config(os.environ, fleet=asked.fleet is not None)
         if asked.connections:
@@ -122,7 +132,11 @@
             from loftrelay.fleet.settings import load_fleet
 
             fleet = load_fleet(asked.fleet, os.environ)
-        asyncio.run(serve(config, connections, record, fleet))
+        if asked.subscription:
+            from loftrelay.membership.settings import load_subscription
+
+            subscription = load_subscription(asked.subscription)
+        asyncio.run(serve(config, connections, record, fleet, subscription))
     except SettingsError as error:
         print(f"loftrelay: configuration: {error}", file=sys.stderr)
         return 2
--- a/loftrelay/app.py
+++ b/loftrelay/app.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from loftrelay.config import Config
 from loftrelay.core.engine import Engine
 from loftrelay.core.handover import Handed
-from loftrelay.core.ports import Record
+from loftrelay.core.ports import Directory, Record, Slices
 from loftrelay.delivery.hosts import Hosts
 from loftrelay.delivery.pools import Limits
 from loftrelay.journal.journal import Journal
@@ -13,6 +15,9 @@
 from loftrelay.membership.notices import Notices
 from loftrelay.state.hosts_out import HostsOut
 
+if TYPE_CHECKING:
+    from loftrelay.membership.settings import SubscriptionSettings
+
 DEFAULT_LIMITS = Limits()
 
 
@@ -22,9 +27,10 @@
     journal: Journal | None = None,
     record: Record | None = None,
     handed: Handed | None = None,
+    subscription: SubscriptionSettings | None = None,
 ) -> tuple[Engine, Journal]:
     """`connections`: what the operator's file on connections sets. `handed`: what another process told that
-    has handed the journal over.
+    has handed the journal over. `subscription`: the registries, where the list is a slice.
 
     Returns the engine with all its parts, running, and its journal. To be called within a running loop.
 
@@ -37,10 +43,19 @@
         engine.pulse, engine.told, engine.bound,
     )  # fmt: skip
     where = config.discovery if handed is None else handed.discovery
-    discovery = Discovery(where, config.settings.ask_every, engine.listed)
+    discovery: Directory
+    slices: Slices | None = None
+    if subscription is None:
+        discovery = Discovery(where, config.settings.ask_every, engine.listed)
+    else:
+        from loftrelay.membership.subscriber import Subscriber  # only where it is used
+
+        discovery = slices = Subscriber(
+            subscription, config.name, where, engine.listed, engine.sliced, engine.let_go
+        )
     notices = Notices(where, engine.noticed)
     if handed is not None:
-        engine.take_over(delivery, discovery, notices, handed)
+        engine.take_over(delivery, discovery, notices, handed, slices)
     else:
-        engine.connect(delivery, discovery, notices, config.known, HostsOut(config.state).load())
+        engine.connect(delivery, discovery, notices, config.known, HostsOut(config.state).load(), slices)
     return engine, journal
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -14,6 +14,7 @@
 from loftrelay.core.handover import Handed, tell
 from loftrelay.core.life import Lives, Stage
 from loftrelay.core.message import Held
+from loftrelay.core.parking import Parked, Parking
 from loftrelay.core.ports import (
     Away,
     Delivery,
@@ -24,6 +25,8 @@
     NoticeBoard,
     Permit,
     Record,
+    Slice,
+    Slices,
     Taken,
     Terms,
     Watcher,
@@ -95,6 +98,10 @@
         self.stopped = False
         self.away: Away | None = None  # this process decides nothing: who hears what still becomes known
         self.given = False  # another process owns all that is held here
+        self.slices: Slices | None = None  # None: the list names every destination
+        self.parking = Parking()
+        self.recovered: list[Held] = []  # from before a restart, until the module hears of them
+        self.recovering: set[int] = set()  # their destinations that are not known yet
 
     def connect(
         self,
@@ -103,9 +110,11 @@
         notices: NoticeBoard,
         known: Mapping[str, Any],
         out: Iterable[str] = (),
+        slices: Slices | None = None,
     ) -> None:
-        """From here on it runs: the list as last known, then what was held before a restart. `out`: the hosts
-        that operators have taken out."""
+        """From here on it runs: the list as last known, then what was held before a restart, with
+        `slices` by `take_up`. `out`: the hosts that operators have taken out."""
+        self.slices = slices
         for host in out:
             self.out.add(host)
             self._post(api.TakenOut(host))
@@ -154,7 +163,7 @@
         """Messages whose end is not decided."""
         numbers = self.lives.numbers
         ending = numbers[Stage.CLOSING] + numbers[Stage.UNTOLD]
-        return len(self.journal.held) - self.notices.open - ending
+        return len(self.journal.held) - self.notices.open - ending + len(self.parking)
 
     @property
     def unfinished(self) -> bool:
@@ -166,22 +175,51 @@
 
     def awaits(self, message: str) -> bool:
         """Whether its client has no answer yet."""
-        return self.lives.stage(message) in (Stage.ENTERING, Stage.UNANSWERED)
+        return self.lives.stage(message) in (Stage.ENTERING, Stage.UNANSWERED) or message in self.parking
 
     def submit(self, held: Held, answer: Callable[[int, int], None]) -> None:
         """Takes a message in. The answer, a status and when to come back (ms), is given in this turn. While
         the loop is behind it is a refusal, at once: its client may have left, and what is owed goes first."""
         if self.behind:
-            self._refuse_here(held, answer)
-            if not self.turn_due:
-                self._post(api.Timer(0))  # a relay with nothing to do would never catch up
+            self._refuse_late(held, answer)
             return
         ends = asyncio.get_running_loop().time() + (held.deadline - wall_clock()) / 1e6
         held.terms = self.accepted.terms(held.class_name, wall_clock())
         full = self.settings.max_held is not None and self.open >= self.settings.max_held
         if full or held.destination not in self.destinations:
-            self._refuse_here(held, answer)
+            if full or self.slices is None or self.stopped or self.away is not None:
+                self._refuse_here(held, answer)
+            elif self.parking.add(Parked(held, answer, ends)):
+                self.slices.want(held.destination)
             return
+        if self.slices is not None:
+            self.slices.use(held.destination)
+        self._admit(held, answer, ends)
+
+    def sliced(self, destination: int, state: Slice) -> None:
+        """What became of a destination that was asked for. Its first messages go on in the order in which
+        they came, before any that comes later, or are refused."""
+        if destination in self.recovering:
+            if state is Slice.AWAY and self.slices is not None:
+                self.slices.want(destination)
+            else:
+                self.recovering.discard(destination)
+                if not self.recovering:
+                    self.take_up()
+        for parked in self.parking.take(destination):
+            if state is not Slice.HELD or destination not in self.destinations:
+                self._refuse_here(parked.held, parked.answer)
+            elif self.behind:
+                self._refuse_late(parked.held, parked.answer)
+            else:
+                self._admit(parked.held, parked.answer, parked.ends)
+
+    def _refuse_parked(self) -> None:
+        """Nothing more is asked here: their clients are to go elsewhere."""
+        for parked in self.parking.take_all():
+            self._refuse_here(parked.held, parked.answer)
+
+    def _admit(self, held: Held, answer: Callable[[int, int], None], ends: float) -> None:
         try:
             self.journal.take(held)
         except JournalFull:
@@ -194,6 +232,11 @@
         else:
             self._enter(held, answer, ends)
 
+    def _refuse_late(self, held: Held, answer: Callable[[int, int], None]) -> None:
+        self._refuse_here(held, answer)
+        if not self.turn_due:
+            self._post(api.Timer(0))  # a relay with nothing to do would never catch up
+
     def _refuse_here(self, held: Held, answer: Callable[[int, int], None]) -> None:
         self.figures.ended(held.class_name, End.DECLINED)
         answer(REFUSED, REFUSED_HERE_MS)
@@ -244,6 +287,7 @@
         """Before the end of the process: nothing new is begun, what comes is kept for the next start."""
         self.stopped = True
         self._answer_taken()
+        self._refuse_parked()
 
     def _answer_taken(self) -> None:
         if answers := self.lives.take():
@@ -253,6 +297,7 @@
 
     def withdraw(self, message: str) -> None:
         """The client went before its answer."""
+        self.parking.drop(message)
         stage = self.lives.stage(message)
         if stage in (Stage.ENTERING, Stage.UNANSWERED):
             self.lives.over(message)
@@ -272,6 +317,7 @@
         """Stands still: nothing is decided, begun, written or told until `thaw`. What its calls still tell
         goes to `away`. Calls that were decided and have not begun are to be decided anew."""
         self._answer_taken()
+        self._refuse_parked()
         self.away = away
         if self.timer is not None:
             self.timer.cancel()
@@ -299,11 +345,16 @@
         """What the next process needs beside the journal. To be asked while this one stands still."""
         return tell(
             self.brain, self.events, self.entries.values(), self.discovery.revision, self.discovery.address,
-            self.destinations, self.lives.calls(), self.accepted.dropped,
+            self.destinations, self.lives.calls(), self.accepted.dropped, self.slices is not None,
         )  # fmt: skip
 
     def take_over(
-        self, delivery: Delivery, discovery: Directory, notices: NoticeBoard, handed: Handed
+        self,
+        delivery: Delivery,
+        discovery: Directory,
+        notices: NoticeBoard,
+        handed: Handed,
+        slices: Slices | None = None,
     ) -> None:
         """In place of `connect`: goes on where another process stood still."""
         self.brain, self.now = handed.module, max(self._clock(), handed.module.now)
@@ -317,6 +368,10 @@
         self.posted = [asyncio.get_running_loop().time()] * len(self.events)
         self._post(api.Retuned(self.settings))
         self._reconcile(handed.sent_at)
+        self.slices = slices
+        if slices is not None:
+            revision = handed.slice_revision if handed.sliced else handed.revision
+            slices.adopt(revision, handed.destinations, handed.entries)
         self.discovery.resume(handed.revision)
 
     def _as_of_now(self, event: api.Event) -> api.Event:
@@ -383,8 +438,10 @@
             if remaining > 0:
                 self._post(api.KeyRest(key, remaining))
         messages = [held for held in messages if self._mend(held)]
+        self.recovered = messages
+        if self.slices is None:
+            self.take_up()
         for held in messages:
-            self._post(self._recovered(held, now))
             if held.notice is not None:
                 self._tell(held.id, held.notice)
             else:
@@ -393,6 +450,22 @@
             self._mend_unheld(message)
         if messages:
             log.info("%d messages taken up again", len(messages))
+        if self.slices is not None:
+            self.recovering = {held.destination for held in messages if held.notice is None}
+            for destination in sorted(self.recovering):
+                self.slices.want(destination)
+            if not self.recovering:
+                self.take_up()
+
+    def take_up(self) -> None:
+        """The module hears of what was held before a restart, if it has not: it has to know where each last
+        ran, so that a slice is waited for, for a while."""
+        self.recovering.clear()
+        recovered, self.recovered = self.recovered, []
+        now = wall_clock()
+        for held in recovered:
+            if held.id in self.journal.held:  # its end may have been heard meanwhile
+                self._post(self._recovered(held, now))
 
     def _recovered(self, held: Held, now: int) -> api.Recovered:
         ran_ago = None if held.ran_at is None else max(0, now - held.ran_at)
@@ -492,6 +565,31 @@
             self._place(entry, addresses[host])
         self._post(listing)
 
+    def let_go(self, destinations: Iterable[int]) -> list[int]:
+        """Lets go of those for which nothing is held, in flight or in line, and gives them. What binds of
+        them (a told wait, an outage) stays with the module."""
+        if self.stopped or self.away is not None or self.recovered:
+            return []
+        now = self._clock()
+        idle = {d for d in destinations if d not in self.parking.at and self.brain.idle(now, d)}
+        for event in self.events:
+            if isinstance(event, api.Submit):
+                idle.discard(event.destination)
+            elif isinstance(event, api.Recovered):
+                idle.discard(event.submit.destination)
+        if idle:
+            idle.difference_update(held.destination for held in self.journal.held.values())
+        if not idle:
+            return []
+        for host in [host for host, (entry, _) in self.entries.items() if entry.destination in idle]:
+            self._forget(host)
+        self.destinations -= idle
+        for destination in idle:
+            self.unsettled.pop(destination, None)
+        gone = sorted(idle)
+        self._post(api.LetGo(tuple(gone)))
+        return gone
+
     def _place(self, entry: api.Entry, address: Address) -> None:
         host = entry.endpoint
         self.entries[host] = entry, address
--- a/loftrelay/core/handover.py
+++ b/loftrelay/core/handover.py
@@ -27,6 +27,8 @@
     destinations: set[int]  # that a list has named
     sent_at: dict[str, int]  # of attempts that are out, on the clock that all processes share
     dropped: dict[str, tuple[tuple[Any, ...], int]]  # classes that are taken for a while yet
+    sliced: bool = False  # the list names the destinations alone that the relay served, as of slice_revision
+    slice_revision: int | None = None
 
 
 def tell(
@@ -38,14 +40,18 @@
     destinations: Iterable[int],
     sent_at: Mapping[str, int],
     dropped: Mapping[str, tuple[tuple[Any, ...], int]],
+    sliced: bool = False,
 ) -> dict[str, Any]:
+    """`sliced`: the list is a slice. Whoever follows without registries then asks for the whole list, also a
+    program that knows of no slices: no revision is told it."""
     return {
         "module": snapshot.write(module, events),
         "list": [
             [list(address), e.endpoint, e.destination, e.state.name, e.zone, e.kind, e.rate]
             for e, address in entries
         ],
-        "revision": revision,
+        "revision": None if sliced else revision,
+        **({"slice": {"revision": revision}} if sliced else {}),
         "discovery": list(discovery),
         "destinations": sorted(destinations),
         "sent_at": dict(sent_at),
@@ -67,6 +73,7 @@
             told["revision"], (str(host), int(port)), set(map(int, told["destinations"])),
             {str(name): int(at) for name, at in told["sent_at"].items()},
             {str(name): (tuple(packed), int(until)) for name, (packed, until) in told["dropped"].items()},
+            "slice" in told, told["slice"]["revision"] if "slice" in told else None,
         )  # fmt: skip
     except (snapshot.SnapshotError, KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
         raise HandoverError(f"what was handed over can't be used: {error!r}") from error
--- a/loftrelay/fronts/control/relay.py
+++ b/loftrelay/fronts/control/relay.py
@@ -32,7 +32,7 @@
         self.engine: Engine | None = None  # none before it is loaded
         self.elsewhere: Elsewhere | None = None
         self.serving = False
-        self.more: Callable[[], list[str]] = list  # figures of parts that not every relay has
+        self.more: list[Callable[[], list[str]]] = []  # figures of parts that not every relay has
 
     @property
     def ready(self) -> bool:
@@ -41,7 +41,7 @@
     def figures(self) -> list[str]:
         if self.engine is None:
             return Figures().lines(Gauges(0, 0, 0))
-        return [*self.engine.figure_lines(), *self.more()]
+        return [*self.engine.figure_lines(), *(line for lines in self.more for line in lines())]
 
     def take_out(self, host: str, done: Done) -> None:
         self.change(host, True, done)
--- a/loftrelay/membership/subscriber.py
+++ b/loftrelay/membership/subscriber.py
@@ -56,6 +56,7 @@
         let_go: Callable[[Sequence[int]], list[int]],
     ) -> None:
         self.address = notices
+        self.revision: int | None = None
         self.tell, self.sliced, self.let_go = tell, sliced, let_go
         self.interest = Interest(
             told.registries, told.fleet, name, secrets.token_hex(8), told.timing, secrets.randbits(64)
@@ -68,10 +69,6 @@
         self.timer_at = math.inf
         self.doing = False
 
-    @property
-    def revision(self) -> int | None:
-        return self.interest.index or None
-
     def take_known(self, known: Mapping[str, Any]) -> None:
         if known:
             log.info("the known list is passed over: the registries tell what this relay serves")
@@ -91,6 +88,7 @@
 
     def adopt(self, revision: int | None, destinations: Iterable[int], rows: Iterable[Row]) -> None:
         self.interest.adopt(self._now(), revision, destinations, rows)
+        self.revision = revision
 
     def move(self, address: Address) -> None:
         """Of notices alone."""
@@ -137,6 +135,7 @@
         finally:
             self.doing = False
             self._set_timer()
+        self.revision = self.interest.index or None
         if self.interest.answered:
             self.answered.set()
 
--- a/loftrelay/service.py
+++ b/loftrelay/service.py
@@ -28,11 +28,14 @@
 if TYPE_CHECKING:
     from loftrelay.fleet.settings import FleetSettings
     from loftrelay.joining import Joined
+    from loftrelay.membership.settings import SubscriptionSettings
     from loftrelay.record.settings import RecordSettings
 
 log = logging.getLogger("loftrelay")
 
 LOOK = 0.02  # seconds between looks at what is still out
+# Seconds for which a start waits at the most for what it held to have its destinations, and for a registry.
+RECOVER, REGISTRY = 1.0, 2.0
 CATCH_UP = 1.0  # seconds at the most for which a start tells what ran out of time, before it is ready
 
 
@@ -47,8 +50,10 @@
         connections: Limits,
         record: RecordSettings | None = None,
         fleet: FleetSettings | None = None,
+        subscription: SubscriptionSettings | None = None,
     ) -> None:
         self.config, self.connections, self.record, self.fleet = config, connections, record, fleet
+        self.subscription = subscription
         self.joined: Joined | None = None
         self.relay = Relay(HostsOut(config.state))
         self.last = LastFile(config.state)
@@ -118,9 +123,11 @@
             except StoreError as error:
                 raise OSError(str(error)) from error
         handed = taker.handed if taker is not None else None
-        engine, journal = build(config, self.connections, journal, recorder, handed)
+        engine, journal = build(config, self.connections, journal, recorder, handed, self.subscription)
         self.relay.engine = engine
         self.last.save(self.told)
+        if self.subscription is not None:
+            await self._subscribe(engine, handed is not None)
         if taker is None:
             await self._catch_up(engine)
         server = Server(engine, config.most_clients)
@@ -182,6 +189,27 @@
         while engine.notices.open and asyncio.get_running_loop().time() < end and not self.ending.is_set():
             await asyncio.sleep(engine.tick)
 
+    async def _subscribe(self, engine: Engine, handed: bool) -> None:
+        """It serves once a registry has answered. With none that does it serves all the same after a while:
+        what it holds it goes on with, and first messages are refused with when to come back."""
+        from loftrelay.membership.subscriber import Subscriber
+
+        subscriber = engine.slices
+        assert isinstance(subscriber, Subscriber)
+        self.relay.more.append(subscriber.figure_lines)
+        self.relay.more.append(lambda: [f"app.slices_parked={len(engine.parking)}"])
+        if handed:
+            return
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while not self.ending.is_set() and loop.time() < began + REGISTRY:
+            if engine.recovering and loop.time() >= began + RECOVER:
+                engine.take_up()
+            if subscriber.answered.is_set() and not engine.recovering:
+                break
+            await asyncio.sleep(LOOK)
+        engine.take_up()
+
     def _read_what_was_missed(self, engine: Engine) -> None:
         """The file may have been replaced, and SIGHUP sent to the process before, since this one read it."""
         try:
@@ -200,7 +228,7 @@
         assert self.fleet is not None
         config, beside = self.config, self.config.accept is not None
         self.joined = Joined(self.fleet, config.name, config.state, engine, self.relay.change_for_fleet)
-        self.relay.more = self.joined.figure_lines
+        self.relay.more.append(self.joined.figure_lines)
         starting = asyncio.create_task(self.joined.start(wait=beside))
         if not beside:
             await starting
--- /dev/null
+++ b/tests/core/test_slices.py
@@ -0,0 +1,366 @@
+"""First messages of destinations that are not held, and destinations that are let go, within the engine."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from loftrelay.app import build
+from loftrelay.config import Config
+from loftrelay.core import handover
+from loftrelay.core.clock import wall_clock
+from loftrelay.core.engine import Engine
+from loftrelay.core.message import Held
+from loftrelay.core.ports import Ending, Slice
+from loftrelay.delivery.hosts import Hosts
+from loftrelay.delivery.pools import Limits
+from loftrelay.journal.journal import Journal
+from loftrelay.membership.notices import Notices
+from loftrelay.net.address import Address
+from mulleinlead import interface as api
+from mulleinlead.adapter import read_settings
+from tests.standins.platform import SETTINGS
+
+pytestmark = pytest.mark.usefixtures("no_stalls")
+
+NOWHERE = ("127.0.0.1", 9)
+Answers = dict[str, tuple[int, int]]
+
+
+class FakeSlices:
+    """A Directory and a Slices that notes what it is asked."""
+
+    def __init__(self) -> None:
+        self.address: Address = NOWHERE
+        self.revision: int | None = 7
+        self.wanted: list[int] = []
+        self.used: list[int] = []
+        self.adopted: list[Any] = []
+        self.log: list[str] = []
+
+    def want(self, destination: int) -> None:
+        self.wanted.append(destination)
+
+    def use(self, destination: int) -> None:
+        self.used.append(destination)
+
+    def adopt(
+        self, revision: int | None, destinations: Iterable[int], rows: Iterable[tuple[api.Entry, Address]]
+    ) -> None:
+        self.adopted.append((revision, sorted(destinations), [entry.endpoint for entry, _ in rows]))
+
+    def take_known(self, known: Mapping[str, Any]) -> None:
+        self.log.append("known")
+
+    def watch(self) -> None:
+        self.log.append("watch")
+
+    def pause(self) -> None:
+        self.log.append("pause")
+
+    def resume(self, revision: int | None) -> None:
+        self.log.append(f"resume {revision}")
+
+    def move(self, address: Address) -> None:
+        self.address = address
+
+    def close(self) -> None: ...
+
+
+def config_of(folder: Path, most_held: int = 100) -> Config:
+    limits = {**SETTINGS["policy_limits"], "most_held": most_held}
+    settings = read_settings({**SETTINGS, "policy_limits": limits})
+    return Config("n", NOWHERE, NOWHERE, folder, 1, 100, 100, 1_000_000, settings, {})
+
+
+def make(
+    folder: Path, most_held: int = 100, handed: handover.Handed | None = None
+) -> tuple[Engine, FakeSlices]:
+    config, slices = config_of(folder, most_held), FakeSlices()
+    journal = Journal(folder, config.disk_bytes)
+    engine = Engine(1, config.settings, journal)
+    hosts = Hosts(
+        None, None, 10, Limits(), 1, journal.tried, engine.ended, engine.doubted, engine.figures.forwarded,
+        engine.pulse, engine.told, engine.bound,
+    )  # fmt: skip
+    notices = Notices(NOWHERE, engine.noticed)
+    if handed is None:
+        engine.connect(hosts, slices, notices, {}, slices=slices)
+    else:
+        engine.take_over(hosts, slices, notices, handed, slices)
+    return engine, slices
+
+
+def close(engine: Engine) -> None:
+    if engine.timer is not None:
+        engine.timer.cancel()
+    engine.notices.close()
+    engine.delivery.close()
+    engine.journal.close()
+
+
+def play(scenario: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(scenario())  # type: ignore[arg-type]
+
+
+def message(name: str, destination: int = 1, of: str = "order", seconds: float = 9.0) -> Held:
+    now = wall_clock()
+    key = "k" if of == "order" else None
+    return Held(name, 0, of, "acme", destination, key, now, now + int(seconds * 1e6))
+
+
+def submit(engine: Engine, answers: Answers, held: Held) -> None:
+    def answer(status: int, again: int) -> None:
+        assert held.id not in answers  # exactly one
+        answers[held.id] = status, again
+
+    engine.submit(held, answer)
+
+
+def listing(*hosts: str, destination: int = 1) -> tuple[api.Listing, dict[str, Address]]:
+    entries = tuple(api.Entry(h, destination, api.State.LISTED, "a", "plain", 1.0) for h in hosts)
+    return api.Listing(api.Form.CHANGES, entries), dict.fromkeys(hosts, NOWHERE)
+
+
+def hold(engine: Engine, destination: int = 1) -> None:
+    engine.listed(*listing(f"h{destination}", destination=destination))
+    engine.sliced(destination, Slice.HELD)
+
+
+def test_first_messages_are_asked_for_once_and_taken_on_in_their_order(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        engine, slices = make(tmp_path)
+        answers: Answers = {}
+        for name in ("a", "b", "c"):
+            submit(engine, answers, message(name))
+        submit(engine, answers, message("z", destination=2))
+        assert slices.wanted == [1, 2] and not engine.journal.held and answers == {}
+        assert engine.open == 4 and engine.awaits("b")
+        engine.withdraw("b")
+        assert engine.open == 3 and not engine.awaits("b")
+        hold(engine)
+        submit(engine, answers, message("d"))
+        assert list(engine.journal.held) == ["a", "c", "d"] and slices.used == [1]
+        assert [h.number for h in engine.journal.held.values()] == sorted(
+            h.number for h in engine.journal.held.values()
+        )
+        engine._turn()
+        assert answers == dict.fromkeys(("a", "c", "d"), (202, 0))
+        assert [m.name for m in engine.brain.keys["k"].queue] == ["a", "c", "d"]
+        assert slices.wanted == [1, 2]
+        close(engine)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("state", [Slice.EMPTY, Slice.AWAY])
+def test_without_a_host_first_messages_are_refused_and_leave_nothing(tmp_path: Path, state: Slice) -> None:
+    async def scenario() -> None:
+        engine, slices = make(tmp_path)
+        answers: Answers = {}
+        submit(engine, answers, message("a"))
+        submit(engine, answers, message("b", of="status"))
+        engine.sliced(1, state)
+        assert answers == {"a": (503, 1000), "b": (503, 1000)}
+        assert not engine.journal.held and engine.open == 0 and not engine.awaits("a")
+        assert engine.answer_to("a") is None  # its id is free again
+        submit(engine, answers, message("c"))
+        assert slices.wanted == [1, 1]
+        engine.sliced(1, state)
+        engine.sliced(1, state)  # nobody waits
+        assert list(answers) == ["a", "b", "c"]
+        close(engine)
+
+    play(scenario)
+
+
+def test_first_messages_count_against_the_room(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        engine, slices = make(tmp_path, most_held=3)
+        answers: Answers = {}
+        for name in ("a", "b", "c", "d"):
+            submit(engine, answers, message(name))
+        assert answers == {"d": (503, 1000)}
+        hold(engine)
+        assert list(engine.journal.held) == ["a", "b", "c"]
+        submit(engine, answers, message("e", destination=2))
+        assert answers["e"] == (503, 1000) and slices.wanted == [1]
+        close(engine)
+
+    play(scenario)
+
+
+def test_the_time_of_a_first_message_counts_from_when_it_came(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        engine, _ = make(tmp_path)
+        answers: Answers = {}
+        submit(engine, answers, message("a", seconds=5.0))
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 0.2
+        while loop.time() < until:
+            await asyncio.sleep(0.01)
+        hold(engine)
+        (event,) = [e for e in engine.events if isinstance(e, api.Submit)]
+        assert event.remaining <= 4_800_000
+        close(engine)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("how", ["hold", "freeze"])
+def test_at_an_end_or_a_handover_first_messages_are_answered(tmp_path: Path, how: str) -> None:
+    class Nobody:
+        def told(self, host: str, wait: int) -> None: ...
+        def ended(self, message: str, host: str, ending: Ending) -> None: ...
+        def doubted(self, message: str, host: str, ran_at: int) -> None: ...
+
+    async def scenario() -> None:
+        engine, slices = make(tmp_path)
+        answers: Answers = {}
+        submit(engine, answers, message("a"))
+        submit(engine, answers, message("b", destination=2))
+        if how == "hold":
+            engine.hold()
+        else:
+            engine.freeze(Nobody())
+        assert answers == {"a": (503, 1000), "b": (503, 1000)} and engine.open == 0
+        submit(engine, answers, message("c"))
+        assert answers["c"] == (503, 1000) and slices.wanted == [1, 2]
+        hold(engine)  # the answer that was under way
+        assert not engine.journal.held and engine.let_go([1, 2]) == []
+        close(engine)
+
+    play(scenario)
+
+
+def test_what_a_stall_has_made_old_is_refused_and_the_relay_takes_on_again(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        engine, _ = make(tmp_path)
+        answers: Answers = {}
+        submit(engine, answers, message("a"))
+        while engine.turn_due:
+            await asyncio.sleep(0)
+        engine.listed(*listing("h1"))
+        engine._turn()
+        engine.pulse.woke = asyncio.get_running_loop().time()  # it stood still
+        engine.sliced(1, Slice.HELD)
+        assert answers == {"a": (503, 1000)} and engine.turn_due and not engine.journal.held
+        close(engine)
+
+    play(scenario)
+
+
+def test_what_was_held_before_a_restart_enters_once_its_destinations_are_known(tmp_path: Path) -> None:
+    """The module has to know where each last ran: by its host, which the slice names."""
+
+    async def scenario() -> None:
+        engine, _ = make(tmp_path)
+        hold(engine, 1)
+        hold(engine, 2)
+        answers: Answers = {}
+        for name, destination in (("a", 1), ("b", 2), ("c", 1), ("told", 1)):
+            submit(engine, answers, message(name, destination, "status"))
+        engine._turn()
+        assert isinstance(engine.journal, Journal)
+        engine.journal.tried(engine.journal.held["a"], "h1")
+        engine.journal.end("told", {"status": "deferred"})
+        close(engine)
+
+        engine, slices = make(tmp_path)
+        assert slices.wanted == [1, 2] and engine.recovering == {1, 2}
+        engine._turn()
+        assert not engine.brain.messages and engine.let_go([1, 2]) == []
+        engine.noticed("told")  # heard before the module knows of it
+        engine.sliced(2, Slice.AWAY)
+        assert slices.wanted == [1, 2, 2]  # tried on
+        hold(engine, 1)
+        engine._turn()
+        assert not engine.brain.messages
+        hold(engine, 2)
+        engine._turn()
+        assert list(engine.brain.messages) == ["a", "b", "c"] and not engine.brain.unnoticed
+        ran_on = engine.brain.messages["a"].ran_on
+        assert ran_on is not None and ran_on.name == "h1"
+        close(engine)
+
+        engine, slices = make(tmp_path)
+        engine.take_up()  # no registry answers for too long
+        engine._turn()
+        assert sorted(engine.brain.messages) == ["a", "b", "c"]
+        engine.sliced(1, Slice.AWAY)
+        assert slices.wanted == [1, 2]  # not tried on by the engine
+        close(engine)
+
+    play(scenario)
+
+
+def test_only_what_nothing_is_owed_to_is_let_go(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        engine, _ = make(tmp_path)
+        answers: Answers = {}
+        for destination in (1, 2, 3, 4, 5):
+            hold(engine, destination)
+        engine.listed(*listing("h1b"))
+        submit(engine, answers, message("in-line", 2))
+        engine._turn()
+        submit(engine, answers, message("unheard", 3))  # the module has not heard of it
+        submit(engine, answers, message("parked", 6))
+        submit(engine, answers, message("ended", 4, "status"))
+        engine._turn()
+        submit(engine, answers, message("late", 5))
+        engine.journal.end("ended", {"status": "deferred"})  # untold as yet
+        assert engine.let_go([1, 2, 3, 4, 5, 6, 7]) == [1, 7]
+        assert 1 not in engine.destinations and set(engine.entries) == {"h2", "h3", "h4", "h5"}
+        assert set(engine.bundles) == set(engine.entries)
+        assert engine.events[-1] == api.LetGo((1, 7))
+        engine._turn()
+        assert "h1" not in engine.brain.endpoints and "h2" in engine.brain.endpoints
+        submit(engine, answers, message("again", 1))
+        assert "again" in engine.parking
+        hold(engine, 1)
+        engine._turn()
+        assert answers["again"] == (202, 0)
+        close(engine)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("sliced", [True, False])
+def test_a_handover_tells_a_slice_so_that_nobody_takes_it_for_the_whole_list(
+    tmp_path: Path, sliced: bool
+) -> None:
+    async def scenario() -> None:
+        engine, _ = make(tmp_path)
+        hold(engine, 1)
+        hold(engine, 2)
+        engine._turn()
+        if not sliced:
+            engine.slices = None
+        told = json.loads(json.dumps(engine.state()))
+        assert told["revision"] == (None if sliced else 7)
+        close(engine)
+        handed = handover.read(told, 1)
+        assert handed.sliced is sliced and handed.slice_revision == (7 if sliced else None)
+        engine, slices = make(tmp_path, handed=replace(handed))
+        assert slices.adopted == [(7, [1, 2], ["h1", "h2"])]
+        assert slices.log == [f"resume {None if sliced else 7}"]
+        close(engine)
+
+    play(scenario)
+
+
+def test_without_registries_nothing_is_parked(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        engine, _ = build(config_of(tmp_path))
+        answers: Answers = {}
+        submit(engine, answers, message("a"))
+        assert answers == {"a": (503, 1000)} and engine.slices is None and not len(engine.parking)
+        close(engine)
+
+    play(scenario)
--- a/tests/membership/registries.py
+++ b/tests/membership/registries.py
@@ -6,7 +6,7 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from loftrelay.core.ports import Slice
 from loftrelay.membership.interest import (
@@ -34,16 +34,18 @@
 
 @dataclass
 class List:
-    """Discovery's, with all that was ever in it."""
+    """Discovery's, with all that was ever in it: a host that moved is gone where it was."""
 
     revision: int = 1
-    rows: dict[str, tuple[Row, int]] = field(default_factory=dict)  # host -> its row, and when it changed
+    rows: dict[tuple[str, int], tuple[Row, int]] = field(default_factory=dict)  # and when they changed
 
     def set(self, host: str, cell: int, state: State) -> None:
         self.revision += 1
-        number = int(host.rpartition("h")[2]) if "h" in host else 0
+        for other, (row, _) in list(self.rows.items()):
+            if other[0] == host and row[0].state is not State.GONE:
+                self.rows[other] = (replace(row[0], state=State.GONE), row[1]), self.revision
         entry = Entry(host, cell, state, None, None, float(self.revision))
-        self.rows[host] = (entry, ("10.0.0.1", 1024 + number)), self.revision
+        self.rows[host, cell] = (entry, ("10.0.0.1", 1024 + int(host[1:]))), self.revision
 
     def copy(self) -> List:
         return List(self.revision, dict(self.rows))
@@ -99,7 +101,7 @@
             done(UNAVAILABLE)
         elif isinstance(call, Change):
             done(self._change(now, call))
-        else:
+        elif isinstance(call, Watch):
             self._watch(now, call, done)
 
     def _change(self, now: float, call: Change) -> Answer | int:
--- a/tests/membership/test_interest.py
+++ b/tests/membership/test_interest.py
@@ -4,6 +4,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -11,7 +12,7 @@
 
 from loftrelay.core.ports import Slice
 from loftrelay.membership.interest import RETURN, Channel, Mode, Timing, preference
-from loftrelay.registry.protocol import MOST_CELLS, Change, Watch, read_target
+from loftrelay.registry.protocol import MOST_CELLS, Answer, Change, Watch, read_target, target
 from mulleinlead.interface import State
 from tests.membership.registries import FLEET, List, Registry, Relay
 
@@ -161,6 +162,53 @@
     assert relay.hosts[1]["h1"][0].state is State.DRAINING and relay.sliced[0][:2] == (1, Slice.HELD)
 
 
+@pytest.mark.parametrize("whole", [True, False])
+def test_what_a_late_watch_tells_of_a_cell_that_is_known_as_of_later_is_passed_over(whole: bool) -> None:
+    told, registries, relay = make(number=1)
+    relay.want(1, 2)
+    relay.run(0.1)
+    ((watch, _),) = registries[0].waiting
+    number = relay.interest.watch
+    assert number is not None
+    told.set("h1", 1, State.DRAINING)
+    told.set("h2", 2, State.DRAINING)
+    late: list[Answer | int] = []
+    registries[0].waiting.clear()  # answered, and the answer is under way
+    registries[0].hear(relay.now, told)
+    registries[0].ask(relay.now, target(watch), late.append)
+    told.set("h1", 1, State.LISTED)
+    registries[0].hear(relay.now, told)
+    relay.hosts.pop(1)  # let go, and wanted once more
+    relay.interest.let_go(relay.now, [1], [1])
+    relay.want(1)
+    relay.run(0.05)
+    (answer,) = late
+    assert isinstance(answer, Answer) and list(relay.hosts[1]) == ["h1"]
+    if whole:
+        answer = replace(answer, cells=(1, 2))
+    relay.interest.heard(relay.now, number, answer, tuple(answer.members))
+    relay.do()
+    assert relay.hosts[1]["h1"][0].state is State.LISTED and relay.interest.counts["overtaken"] == 1
+    assert relay.hosts[2]["h2"][0].state is State.DRAINING
+    relay.run(0.2)
+    assert relay.holds(told)
+
+
+def test_first_messages_go_before_what_nobody_waits_for() -> None:
+    _, registries, relay = make(number=1, wait=2.5)
+    registries[0].dead = True
+    registries[0].start_anew()
+    relay.want(*range(1, 2501))
+    relay.run(3.0)
+    assert {state for _, state, _ in relay.sliced} == {Slice.AWAY}
+    relay.want(9999)
+    registries[0].dead = False
+    before = relay.now
+    relay.run(3.0)
+    pieces = changes(relay, before)
+    assert pieces[0].add[0] == 9999 and sum(len(piece.add) for piece in pieces) >= 2501
+
+
 # Which registry
 
 
--- /dev/null
+++ b/tests/program/test_slices.py
@@ -0,0 +1,408 @@
+"""A relay that holds its destinations alone, beside registries that die, stand still and lag."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.standins.platform import HANG, Peer, Request, World, deliver, failed, message, reply, run
+from tests.standins.registries import Registries
+
+GRACE = 2.0  # seconds after which a drain binds
+
+Scenario = Callable[[World, Registries], Awaitable[None]]
+
+
+def play(scenario: Scenario, folder: Path, number: int = 2, **subscription: Any) -> None:
+    async def main(w: World) -> None:
+        async with Registries(w, number, **subscription) as registries:
+            await scenario(w, registries)
+
+    run(main, folder)
+
+
+def change(w: World, host: int, phase: str) -> None:
+    """Of the host that was listed as so many."""
+    w.members[host] = {**w.members[host], "phase": phase}
+    w.revision += 1
+    w.bump()
+
+
+async def refused(w: World, name: str, dest: int = 1) -> str:
+    """When to come back, as a refusal says."""
+    status, headers, _ = await w.ask(message(name, dest=dest))
+    assert status == 503
+    return headers["retry-after"]
+
+
+async def served_by(w: World, hosts: list[Peer], name: str, dest: int = 1) -> int:
+    """Hands a message in until it is taken: the host that it went to."""
+    await w.hand_in_once_listed(name, dest)
+    await w.until(lambda: any(name in host.ids for host in hosts))
+    return next(number for number, host in enumerate(hosts) if name in host.ids)
+
+
+def test_a_relay_holds_what_it_serves_and_no_more(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        host = await w.host(deliver)
+        for dest in range(2, 202):
+            w.name(dest)
+        await w.start()
+        assert any("known list is passed over" in line for line in w.log)
+        assert await registries.figure("slices_held") == 0
+        assert await asyncio.gather(*(w.hand_in(f"m{n}") for n in range(5))) == [202] * 5
+        await w.until(lambda: host.answered == 5)
+        assert await registries.figure("slices_held") == 1 == await registries.figure("discovered")
+        assert await refused(w, "nobody", dest=900) == "1"
+        more = await w.host(deliver, dest=900)
+        assert await served_by(w, [more], "somebody", dest=900) == 0
+        assert not [r for r in w.discovery.requests if r.target == "/reports"]
+        known = {r.target.partition("?")[0] for r in w.discovery.requests}
+        assert known == {"/registry/instances"}  # of the registries
+
+    play(scenario, tmp_path)
+
+
+def test_first_messages_go_out_in_the_order_in_which_they_came(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        host = await w.host(deliver)
+        await w.start()
+        for address in registries.addresses:
+            await registries.stop(address)
+        writers = []
+        for number in range(8):
+            reader, writer = await asyncio.open_connection(*w.address)
+            writers.append((reader, writer))
+            writer.write(message(f"m{number}", "order"))
+            await registries.until("slices_parked", number + 1)  # read before the next one is written
+        assert await w.hand_in("m0", "order") == 409  # that id is open
+        reader, writer = writers.pop(3)
+        writer.write_eof()  # its client leaves
+        async with asyncio.timeout(HANG):
+            assert await reader.read() == b""
+        writer.close()
+        assert await registries.figure("slices_parked") == 7
+        for address in registries.addresses:
+            registries.go_on(address)
+        for reader, writer in writers:
+            async with asyncio.timeout(HANG):
+                assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 202")
+            writer.close()
+        await w.until(lambda: host.answered == 7)
+        assert host.ids == [f"m{number}" for number in range(8) if number != 3]
+
+    play(scenario, tmp_path, wait_ms=10_000)
+
+
+@pytest.mark.parametrize("how", ["dead", "stopped"])
+def test_a_first_message_while_all_registries_are_away(tmp_path: Path, how: str) -> None:
+    """Refused in the time set, told when to come back; what is held goes on being served."""
+
+    async def scenario(w: World, registries: Registries) -> None:
+        known, other = await w.host(deliver, dest=1), await w.host(deliver, dest=2)
+        await w.start()
+        assert await served_by(w, [known], "before") == 0
+        for address in registries.addresses:
+            await (registries.kill(address) if how == "dead" else registries.stop(address))
+        began = time.monotonic()
+        assert await refused(w, "first", dest=2) == "1"
+        assert time.monotonic() - began >= 0.2
+        assert await w.hand_in("held") == 202  # its destination is held
+        await w.until(lambda: "held" in known.ids)
+        for address in registries.addresses:
+            if how == "dead":
+                await registries.start(address)
+            else:
+                registries.go_on(address)
+        assert await served_by(w, [other], "again", dest=2) == 0
+        assert other.ids == ["again"] and not w.notices
+
+    play(scenario, tmp_path)
+
+
+def test_a_start_while_all_registries_are_away(tmp_path: Path) -> None:
+    """It serves all the same: what it held is taken up and goes out once a registry tells where; what comes
+    is refused; and what runs out of time meanwhile is told."""
+
+    async def scenario(w: World, registries: Registries) -> None:
+        async def not_now(request: Request) -> bytes:
+            return reply(503)
+
+        host = await w.host(not_now)
+        await w.start()
+        for number in range(3):
+            assert await w.hand_in(f"m{number}", "order", path=f"/order/k{number}") == 202
+        assert await w.hand_in("short", Request_Timeout_Ms="3000") == 202
+        for address in registries.addresses:
+            await registries.kill(address)
+        await w.restart()
+        assert await refused(w, "new", dest=1) == "1"
+        await w.until(lambda: [n["id"] for n in w.notices] == ["short"])
+        host.requests.clear()
+        host.script = deliver
+        await registries.start(registries.addresses[0])
+        await w.until(lambda: sorted(host.ids) == ["m0", "m1", "m2"])
+        await w.until(lambda: host.answered >= 3)
+
+    play(scenario, tmp_path)
+
+
+def test_a_change_made_while_a_relay_restarts(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        async def not_now(request: Request) -> bytes:
+            return reply(503)
+
+        old, new = await w.host(not_now), await w.peer(deliver)
+        await w.start()
+        assert await w.hand_in("m") == 202
+        await w.until(lambda: old.answered > 0)
+        await w.kill()
+        old.requests.clear()
+        change(w, 0, "Gone")
+        w.list_host(1, "plain", "Ready", new.address)
+        await w.start()
+        await w.until(lambda: new.ids == ["m"])
+        assert await served_by(w, [new], "n") == 0 and not old.ids
+
+    play(scenario, tmp_path)
+
+
+async def drained(w: World, hosts: list[Peer], told_at: float) -> float:
+    """Messages go on until long after the grace: when the last one came to the first host, in seconds after
+    `told_at`."""
+    last = 0.0
+    number = 0
+    while time.monotonic() < told_at + GRACE + 1.5:
+        number += 1
+        before = len(hosts[0].ids)
+        assert await w.hand_in(f"after{number}") == 202
+        if len(hosts[0].ids) > before:
+            last = time.monotonic() - told_at
+    await w.until(lambda: f"after{number}" in hosts[1].ids + hosts[0].ids)
+    return last
+
+
+def test_a_drain_is_told_through_a_registry_within_its_grace(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        hosts = [await w.host(deliver), await w.host(deliver)]
+        await w.start()
+        number = 0
+        while not all(host.ids for host in hosts):
+            number += 1
+            await w.hand_in_once_listed(f"before{number}", 1)
+        told_at = time.monotonic()
+        change(w, 0, "Terminating")
+        assert await drained(w, hosts, told_at) < GRACE
+
+    play(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("how", ["dead", "stopped"])
+def test_a_change_made_as_the_registry_in_use_goes(tmp_path: Path, how: str) -> None:
+    """In the midst of a watch. One that stands still is left once its watch is overdue, and what it tells as
+    it wakes up does no harm."""
+
+    async def scenario(w: World, registries: Registries) -> None:
+        first, second = registries.order()
+        hosts = [await w.host(deliver), await w.host(deliver)]
+        await w.start()
+        number = 0
+        while not all(host.ids for host in hosts):
+            number += 1
+            await w.hand_in_once_listed(f"before{number}", 1)
+        assert await registries.figure("slices_registry") == 0
+        await (registries.kill(first) if how == "dead" else registries.stop(first))
+        change(w, 0, "Terminating")
+        await registries.until("slices_moved", 1)
+        assert any(f"registry {first} does not answer" in line for line in w.log)
+        # The first change at the next registry tells it, and the watch begins after that.
+        await w.until(lambda: any(f"registry {second} tells the slice" in line for line in w.log))
+        hosts[0].requests.clear()
+        for number in range(10):
+            assert await w.hand_in(f"after{number}") == 202
+        await w.until(lambda: sum(name.startswith("after") for name in hosts[1].ids) == 10)
+        if how == "stopped":
+            registries.go_on(first)
+        else:
+            await registries.start(first)
+        change(w, 1, "Terminating")
+        third = await w.host(deliver)
+        while "last" not in third.ids:
+            await w.hand_in("last")
+        assert not hosts[0].ids and await registries.figure("slices_registry") == 1
+
+    play(scenario, tmp_path)
+
+
+def test_a_slice_that_empties_and_a_host_that_comes_back(tmp_path: Path) -> None:
+    """What is held waits for a host; a first message after a while is refused as for an unlisted
+    destination."""
+
+    async def scenario(w: World, registries: Registries) -> None:
+        async def not_now(request: Request) -> bytes:
+            return reply(503)
+
+        host = await w.host(not_now)
+        await w.start()
+        assert await w.hand_in("held") == 202
+        await w.until(lambda: host.answered > 0)
+        change(w, 0, "Gone")
+        async with asyncio.timeout(HANG):
+            while await registries.figure("discovered"):
+                await asyncio.sleep(0.01)
+        host.requests.clear()
+        back = await w.host(deliver)
+        await w.until(lambda: back.ids == ["held"])
+        assert await served_by(w, [back], "new") == 0 and not host.ids and not w.notices
+
+    play(scenario, tmp_path)
+
+
+def test_a_destination_is_let_go_when_nothing_of_it_is_held_and_its_told_wait_binds_when_it_returns(
+    tmp_path: Path,
+) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        let, came, told_at = asyncio.Event(), dict[str, float](), 0.0
+
+        async def script(request: Request) -> bytes:
+            nonlocal told_at
+            came[request.id] = time.monotonic()
+            if request.id == "out":
+                await let.wait()
+                told_at = time.monotonic()
+                return reply(200, X_Come_Back_Ms="6000")
+            return reply(200)
+
+        host = await w.host(script)
+        await w.start()
+        assert await w.hand_in("out", "order") == 202
+        await w.until(lambda: host.ids == ["out"])
+        assert await w.hand_in("in-line", "order", Request_Timeout_Ms="4000") == 202
+        assert await registries.figure("slices_held") == 1
+        await asyncio.sleep(2.5)  # idle for longer than what is set: it must not be let go
+        assert await registries.figure("slices_let_go") == 0 and host.ids == ["out"]
+        let.set()
+        await w.until(lambda: w.notices == [failed("in-line")] or [n["id"] for n in w.notices] == ["in-line"])
+        await registries.until("slices_let_go", 1)
+        assert await registries.figure("slices_held") == 0 == await registries.figure("discovered")
+        async with asyncio.timeout(HANG):
+            while await w.hand_in("again") != 202:
+                await asyncio.sleep(0.05)
+        await w.until(lambda: "again" in came)
+        assert came["again"] - told_at >= 5.9
+
+    play(scenario, tmp_path, idle_s=1)
+
+
+def test_the_next_process_goes_on_with_the_slice(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        w.share_listener()
+        hosts = [await w.host(deliver, dest=dest) for dest in (1, 2)]
+        await w.start()
+        for dest in (1, 2):
+            assert await served_by(w, [hosts[dest - 1]], f"before{dest}", dest) == 0
+        await w.upgrade()
+        assert await registries.figure("slices_held") == 2
+        assert await registries.figure("slices_cells") == 0  # nothing was told whole again
+        for address in registries.addresses:
+            await registries.kill(address)
+        assert await w.hand_in("after1", dest=1) == 202 and await w.hand_in("after2", dest=2) == 202
+        await w.until(lambda: "after1" in hosts[0].ids and "after2" in hosts[1].ids)
+
+    play(scenario, tmp_path)
+
+
+def test_a_process_without_registries_that_follows_asks_for_the_whole_list(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        w.share_listener()
+        hosts = [await w.host(deliver, dest=dest) for dest in (1, 2)]
+        await w.start()
+        assert await served_by(w, hosts[:1], "before") == 0
+        w.arguments = []
+        await w.upgrade()
+        assert await served_by(w, hosts[1:], "after", dest=2) == 0
+        assert "/registry/instances" in {r.target for r in w.discovery.requests}
+
+    play(scenario, tmp_path)
+
+
+def test_a_reload_that_moves_discovery_moves_notices_alone(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        async def no(request: Request) -> bytes:
+            return reply(500)
+
+        host = await w.host(no)
+        await w.start()
+        changes = await registries.figure("slices_changes")
+        new = await w.peer(w.discover)
+        w.configure(new.address)
+        w.reload()
+        await w.until(lambda: any("discovery moves" in line for line in w.log))
+        assert await w.hand_in("m", "order") == 202
+        await w.until(lambda: w.notices == [failed("m")])
+        assert {r.target for r in new.requests} == {"/reports"} and host.ids
+        assert await registries.figure("slices_changes") == changes + 1  # the first message's
+
+    play(scenario, tmp_path)
+
+
+def test_at_an_end_first_messages_that_wait_are_answered(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        await w.host(deliver)
+        await w.start()
+        for address in registries.addresses:
+            await registries.stop(address)
+        reader, writer = await asyncio.open_connection(*w.address)
+        writer.write(message("m"))
+        await registries.until("slices_parked", 1)
+        assert w.process is not None
+        w.process.terminate()
+        async with asyncio.timeout(HANG):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 503")
+            assert await w.process.wait() == 0
+        writer.close()
+        assert any("ends with 0 messages" in line for line in w.log)
+
+    play(scenario, tmp_path, wait_ms=10_000)
+
+
+@pytest.mark.parametrize(
+    ("text", "line"),
+    [
+        ("[subscription]\n", "registries = []: names none"),
+        ('[subscription]\nregistries = ["nowhere"]\n', "registries = 'nowhere': is no address with a port"),
+        ('[subscription]\nregistries = ["a:1"]\nmost = 1000\n', "most = 1000: is not from 1024"),
+        ('[subscription]\nregistries = ["a:1"]\nfleet = ""\n', "fleet = '': is not a text"),
+        ('[subscription]\nregistries = ["a:1"]\nwait = 3\n', "wait = 3: no such key"),
+        ("[registry]\n", "registry = {}: all keys stand in the table [subscription]"),
+    ],
+)
+def test_a_file_that_can_not_be_used_is_one_line(tmp_path: Path, text: str, line: str) -> None:
+    async def scenario(w: World) -> None:
+        path = tmp_path / "subscription.toml"
+        path.write_text(text)
+        w.arguments = ["--subscription", str(path)]
+        process = await w.spawn()
+        async with asyncio.timeout(HANG):
+            assert await process.wait() == 2
+        await w.until(lambda: bool(w.log))
+        (told,) = w.log
+        assert told.startswith(f"loftrelay: configuration: {path}: {line}"), told
+
+    run(scenario, tmp_path)
+
+
+def test_the_deploy_file_is_taken_and_so_are_many_registries(tmp_path: Path) -> None:
+    from loftrelay.membership.settings import load_subscription
+
+    told = load_subscription(Path(__file__).parents[2] / "deploy" / "subscription.toml")
+    assert told.fleet == "windwacht" and len(told.registries) == 2 and told.timing.wait == 0.2
+    path = tmp_path / "many.toml"
+    path.write_text(f"[subscription]\nregistries = {json.dumps([f'10.0.0.1:{n}' for n in range(1, 1025)])}\n")
+    assert len(load_subscription(path).registries) == 1024
--- /dev/null
+++ b/tests/standins/registries.py
@@ -0,0 +1,98 @@
+"""Registries as processes of the program, between a World's discovery and its relay."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+from loftrelay.membership.interest import preference
+from loftrelay.net.address import parse_address
+from tests.standins.platform import HANG, ROOT, World, free_port
+
+FLEET = "windwacht"
+
+
+class Registries:
+    """So many for one World, whose relay is then to be started with them. Use as an async context within
+    that of the world."""
+
+    def __init__(self, world: World, number: int = 2, **subscription: Any) -> None:
+        self.world = world
+        self.addresses = [f"127.0.0.1:{free_port()}" for _ in range(number)]
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+        self.logs: dict[str, list[str]] = {address: [] for address in self.addresses}
+        self.tasks: list[asyncio.Task[None]] = []
+        world.control = world.control or f"127.0.0.1:{free_port()}"
+        told = {"fleet": f'"{FLEET}"', "registries": str(self.addresses).replace("'", '"'), **subscription}
+        path = world.folder / "subscription.toml"
+        path.write_text("[subscription]\n" + "".join(f"{key} = {value}\n" for key, value in told.items()))
+        world.arguments = ["--subscription", str(path)]
+
+    async def __aenter__(self) -> Registries:
+        await asyncio.gather(*(self.start(address) for address in self.addresses))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for address in list(self.processes):
+            await self.kill(address)
+        await asyncio.gather(*self.tasks)
+
+    def order(self) -> list[str]:
+        """As the relay prefers them."""
+        places = preference(self.world.name_, [parse_address(address) for address in self.addresses])
+        return [f"{host}:{port}" for host, port in places]
+
+    async def start(self, address: str) -> None:
+        path = self.world.folder / f"registry-{address.rpartition(':')[2]}.toml"
+        told = {"fleet": FLEET, "listen": address, "discovery": self.world.discovery.address}
+        path.write_text("[registry]\n" + "".join(f'{key} = "{value}"\n' for key, value in told.items()))
+        process = self.processes[address] = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "loftrelay", "registry", "--settings", str(path), cwd=ROOT,
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        log = self.logs[address] = []
+        self.tasks.append(asyncio.create_task(self._read_log(process, log)))
+        await self.world.until(
+            lambda: any("listens on" in line for line in log) or process.returncode is not None
+        )
+        assert process.returncode is None, log
+
+    async def _read_log(self, process: asyncio.subprocess.Process, log: list[str]) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            log.append(line.decode().strip())
+            self.world.bump()
+        await process.wait()
+        self.world.bump()
+
+    async def kill(self, address: str) -> None:
+        process = self.processes.pop(address)
+        process.kill()
+        async with asyncio.timeout(HANG):
+            await process.wait()
+
+    async def stop(self, address: str) -> None:
+        """Stands still, with its connections up."""
+        process = self.processes[address]
+        process.send_signal(signal.SIGSTOP)
+        stat = Path(f"/proc/{process.pid}/stat")
+        async with asyncio.timeout(HANG):
+            while stat.read_text().rpartition(")")[2].split()[0] != "T":
+                await asyncio.sleep(0.002)
+
+    def go_on(self, address: str) -> None:
+        self.processes[address].send_signal(signal.SIGCONT)
+
+    # What the relay shows at its door
+
+    async def figure(self, name: str) -> int:
+        lines = dict(line.split("=") for line in (await self.world.call("show-stat")).split() if "=" in line)
+        return int(lines[f"app.{name}"])
+
+    async def until(self, name: str, least: int) -> None:
+        async with asyncio.timeout(HANG):
+            while await self.figure(name) < least:
+                await asyncio.sleep(0.01)
