--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -10,6 +10,9 @@
   target            the size two years out, the value predicted there, and how many times that size is the
                     largest one measured
 
+`miss_rate`, by the closed form of benchmarks/interest.py and not measured: for each skew and affinity the
+destinations that a relay has in use, and misses a second, by the idle time in seconds.
+
 Names: those of the slopes, or of the cases that measure several at once.
 """
 
@@ -17,6 +20,7 @@
 
 import argparse
 import json
+import math
 import statistics
 import subprocess
 import sys
@@ -25,6 +29,7 @@
 from typing import Any
 
 from benchmarks.fits import Kind, Point, choose, fit, hold_out
+from benchmarks.interest import Share, rates, use
 from benchmarks.process import ROOT
 
 LONGEST = 900  # seconds for one run
@@ -116,6 +121,41 @@
 )
 
 
+EVENTS = 460_000  # a second, taken by all relays
+SKEWS, AFFINITIES, IDLES = (0.0, 0.66, 0.8, 0.88, 1.0), (0.0, 0.5, 0.9, 0.99, 1.0), (10, 60, 300, 900)
+
+
+def miss_rate() -> list[dict[str, Any]]:
+    rows = []
+    for skew in SKEWS:
+        for affinity in AFFINITIES:
+            share = Share(EVENTS / RELAYS, math.ceil(DESTINATIONS / RELAYS), DESTINATIONS, skew, affinity)
+            given = rates(share)
+            seen = {str(idle): use(given, idle) for idle in IDLES}
+            rows.append(
+                {
+                    "skew": skew, "affinity": affinity,
+                    "in_use": {idle: three(one.in_use) for idle, one in seen.items()},
+                    "misses_per_s": {idle: three(round(one.misses, 6)) for idle, one in seen.items()},
+                }
+            )  # fmt: skip
+    return rows
+
+
+def miss_table(rows: list[dict[str, Any]]) -> str:
+    head = f"miss_rate (destinations in use / misses a second, by idle seconds {IDLES})"
+    return "\n".join(
+        [
+            head,
+            *(
+                f"    skew {row['skew']:<5}affinity {row['affinity']:<5}"
+                + "".join(f"{row['in_use'][i]:>12g} / {row['misses_per_s'][i]:<9g}" for i in row["in_use"])
+                for row in rows
+            ),
+        ]
+    )
+
+
 def run_once(case: str, size: int, seed: int = 1) -> dict[str, float]:
     command = [sys.executable, "-m", "benchmarks.slope_cases", case, str(size), str(seed)]
     done = subprocess.run(
@@ -184,11 +224,15 @@
 
 def measure(quick: bool, only: list[str]) -> dict[str, Any]:
     """Raises ValueError for a name that there is not."""
-    known = {*CASES, *(slope.name for slope in SLOPES)}
+    known = {*CASES, *(slope.name for slope in SLOPES), "miss_rate"}
     if unknown := sorted(set(only) - known):
         raise ValueError(f"no slope is called {', '.join(unknown)}: there are {', '.join(sorted(known))}")
     wanted = [slope for slope in SLOPES if not only or {slope.name, slope.case} & set(only)]
     result: dict[str, Any] = {}
+    told: dict[str, Any] = {"slopes": result}
+    if not only or "miss_rate" in only:
+        told["miss_rate"] = miss_rate()
+        print(miss_table(told["miss_rate"]), flush=True)
     for case in CASES.values():
         of_case = [slope for slope in wanted if slope.case == case.name]
         if not of_case:
@@ -197,7 +241,7 @@
         for slope in of_case:
             result[slope.name] = judged(slope, case, seen)
             print(table(slope.name, result[slope.name]), flush=True)
-    return result
+    return told
 
 
 def main() -> int:
@@ -212,7 +256,7 @@
         result = measure(asked.quick, asked.only)
     except ValueError as error:
         parser.error(str(error))
-    print(json.dumps({"slopes": result, "seconds": round(time.monotonic() - began, 1)}))
+    print(json.dumps({**result, "seconds": round(time.monotonic() - began, 1)}))
     return 0
 
 
