Slope of a watch on the socket: processor time and bytes on both sides, by entries in the answer

Need: the price of one watch that ends with nothing, with a change, and with a list, for a control role's arithmetic. Change: benchmarks/watch_server.py (asyncio and h11, a stand-in for who answers) and a case of benchmarks.slopes that has the program's own Discovery and Caller watch it.

--- a/benchmarks/slope_cases.py
+++ b/benchmarks/slope_cases.py
@@ -25,14 +25,16 @@
 
 import psutil
 
-from benchmarks.process import cpu_seconds
+from benchmarks.process import ROOT, cpu_seconds
+from benchmarks.watch_server import row
 from loftrelay.app import build
 from loftrelay.config import Config
 from loftrelay.core.engine import Engine
 from loftrelay.fleet.membership import Datagram, Known, Membership, Peer, Probe, State, Timing
 from loftrelay.fleet.wire import decode, encode
 from loftrelay.lab.links import MS, SECOND, Fleet, Node
-from loftrelay.membership.discovery import read_list
+from loftrelay.membership.caller import Caller
+from loftrelay.membership.discovery import Discovery, read_list
 from loftrelay.net.address import Address
 from mulleinlead import interface as api
 from mulleinlead.adapter import read_settings
@@ -50,15 +52,6 @@
     return int(psutil.Process(pid).memory_full_info().uss)
 
 
-def row(number: int, phase: str = "Ready") -> dict[str, Any]:
-    """An entry as discovery writes it: each destination has one host."""
-    return {
-        "id": f"host-{number:06d}", "host_port": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080",
-        "locality": "a", "flavor": "plain", "cell": number, "phase": phase, "size": 1.0,
-        "up_since_ms": 1_790_000_000_000 + number,
-    }  # fmt: skip
-
-
 def whole_list(size: int) -> bytes:
     told = {"revision": 2, "complete": True, "members": [row(number) for number in range(size)]}
     return json.dumps(told).encode()
@@ -322,6 +315,68 @@
         return asyncio.run(_drain(size, Path(folder)))
 
 
+# A watch on the socket
+
+
+HELD_MS = 60  # a watch that is answered sooner is followed by a rest (membership/discovery.py, LEAST_GAP)
+
+
+async def _watch(entries: int, watches: int) -> Figures:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "benchmarks.watch_server", str(entries), str(HELD_MS), cwd=ROOT,
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+    assert process.stdin is not None and process.stdout is not None
+    try:
+        address = "127.0.0.1", int(await process.stdout.readline())
+        seen, enough, wanted = 0, asyncio.Event(), watches // 5
+
+        def tell(listing: api.Listing, _: Any) -> None:
+            nonlocal seen
+            if listing.form is not api.Form.CHANGES or len(listing.entries) != entries:
+                raise RuntimeError(f"the watch brought {listing.form}, {len(listing.entries)} entries")
+            seen += 1
+            if seen >= wanted:
+                enough.set()
+
+        counter = Caller(address)
+
+        async def counts() -> dict[str, float]:
+            told: dict[str, float] = json.loads((await counter.ask("GET", "/counts", 10)).body)
+            return told
+
+        discovery = Discovery(address, None, tell)
+        discovery.resume(1)
+        async with asyncio.timeout(60):
+            await enough.wait()
+        # Asked right after an answer, while the next watch is held: no request is on its way.
+        before, first, began = await counts(), seen, time.process_time()
+        wanted = seen + watches
+        enough.clear()
+        async with asyncio.timeout(120):
+            await enough.wait()
+        spent, number = time.process_time() - began, seen - first
+        after = await counts()
+        discovery.close()
+        counter.close()
+    finally:
+        process.stdin.close()
+        await process.wait()
+    answered = after["watches"] - before["watches"]
+    return {
+        "watch_us": spent / number * 1e6, "server_us": (after["cpu"] - before["cpu"]) / answered * 1e6,
+        "to_relay": (after["sent"] - before["sent"]) / answered,
+        "from_relay": (after["heard"] - before["heard"]) / answered,
+    }  # fmt: skip
+
+
+def watch(size: int, watches: int) -> Figures:
+    """A watch that ends with so many changed entries, answered and renewed on its kept connection: processor
+    time on the relay's side (request, h11, JSON, entries, without engine and module) and on that of a server
+    in asyncio and h11, which writes each answer anew; bytes of HTTP both ways, without TCP and IP."""
+    return asyncio.run(_watch(size, watches))
+
+
 # The fleet's membership
 
 
@@ -503,6 +558,7 @@
     "listed": lambda size, _: listed(size),
     "held": lambda size, _: held(size),
     "drain": lambda size, _: drain(size),
+    "watch": lambda size, _: watch(size, 150 if size <= 100 else 40),
     "membership_200ms": lambda size, seed: membership(size, 200 * MS, seed),
     "membership_1000ms": lambda size, seed: membership(size, 1000 * MS, seed),
     "newcomer_200ms": lambda size, seed: newcomer(size, 200 * MS, seed),
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -58,9 +58,11 @@
     kind: Kind | None = None
 
 
+WATCHES = (0, 1, 10, 100, 363, 1_000, 2_000, 5_000)
 DESTINATIONS = 870_000
 HELD = 2_600_000  # at one relay, at the worst
 RELAYS = 2_400
+SLICE = math.ceil(DESTINATIONS / RELAYS)  # destinations a relay, if they are divided
 FLEETS = (50, 200, 800, 2_400)
 JOINING = (50, 100, 200, 400)  # beyond, the model takes minutes for one run
 LISTS = (1_000, 2_000, 5_000, 10_000, 20_000, 50_000)
@@ -71,6 +73,7 @@
         Case("listed", "entries", LISTS, (200, 500, 1_000), DESTINATIONS),
         Case("held", "messages held", (2_000, 5_000, 10_000, 20_000), (600, 800, 1_000), HELD),
         Case("drain", "messages held for it", (1_000, 2_000, 5_000, 10_000, 20_000), (100, 200, 400), HELD),
+        Case("watch", "entries in the answer", WATCHES, (0, 10, 100), SLICE),
         Case("membership_200ms", "relays", FLEETS, (10, 20, 40), RELAYS),
         Case("membership_1000ms", "relays", FLEETS, (10, 20, 40), RELAYS),
         Case("newcomer_200ms", "relays", JOINING, (10, 20, 40), RELAYS),
@@ -98,6 +101,10 @@
     Slope("start_s", "held", "start_s", "s on the wall"),
     Slope("start_cpu", "held", "start_cpu_s", "s"),
     Slope("drain_cpu", "drain", "drain_us", "us"),
+    Slope("request_cpu", "watch", "watch_us", "us", LINEAR),
+    Slope("request_cpu_server", "watch", "server_us", "us", LINEAR),
+    Slope("request_bytes_in", "watch", "to_relay", "bytes to the relay", LINEAR),
+    Slope("request_bytes_out", "watch", "from_relay", "bytes from the relay", LINEAR),
     *(
         Slope(f"{name}_{beat}", f"{case}_{beat}", figure, unit)
         for beat in ("200ms", "1000ms")
@@ -129,7 +136,7 @@
     rows = []
     for skew in SKEWS:
         for affinity in AFFINITIES:
-            share = Share(EVENTS / RELAYS, math.ceil(DESTINATIONS / RELAYS), DESTINATIONS, skew, affinity)
+            share = Share(EVENTS / RELAYS, SLICE, DESTINATIONS, skew, affinity)
             given = rates(share)
             seen = {str(idle): use(given, idle) for idle in IDLES}
             rows.append(
--- a/tests/benchmarks/test_slopes.py
+++ b/tests/benchmarks/test_slopes.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from benchmarks import slope_cases
 from benchmarks.slopes import CASES, SLOPES, Case, Slope, judged, measure, run_once, table
+from benchmarks.watch_server import row
 from loftrelay.fleet.membership import Timing
 from loftrelay.lab.links import MS, SECOND
 
@@ -54,3 +57,14 @@
     assert laid["sent_per_s"] == pytest.approx(found.sent / 12 / 5, rel=0.05)
     assert laid["datagrams_per_s"] == pytest.approx(found.datagrams / 12 / 5, rel=0.05)
     assert 0 < laid["death_s"] < 10 and 0 < laid["start_known_s"] < 5 and laid["restart_bytes"] > 0
+
+
+def test_a_watch_brings_its_entries_and_every_byte_is_counted() -> None:
+    empty, three = slope_cases.watch(0, 10), slope_cases.watch(3, 10)
+    entry = len(json.dumps(row(0)))
+    # Three rows and two separators more, and a digit of Content-Length.
+    assert three["to_relay"] - empty["to_relay"] == pytest.approx(3 * entry + 2 * 2 + 1, abs=1)
+    target = "/registry/instances?index=100&wait=2000"
+    request = f"GET {target} HTTP/1.1\r\nHost: discovery\r\nContent-Length: 0\r\n\r\n"
+    assert three["from_relay"] == pytest.approx(len(request), abs=2)
+    assert three["watch_us"] > 0 and three["server_us"] > 0
