A scale run: hollow relays beside real ones, slopes predicted and tried, faults at size

Change: benchmarks/scale has a stand-in of discovery with any number of destinations, hollow relays by the hundred with the program's own subscriber and module, real relays with traffic as the last judge, links that count and can be cut, registries killed, stopped and cut off, and slopes that are fitted on the smaller sizes and tried on the largest. psutil and hdrhistogram come with dev, matplotlib with plots.

With the relays' registry cut from discovery shortly after another was stopped, none went by a change within 9.5 s: they don't look at one again that they left within a minute. That is left to be mended. A change's number stood in the place of a port from 1 on, and 9 is that of the generated rows: one was seen 2.7 s before it was made. Counts go on from 1,000 now, and a time before the change is an error.

--- /dev/null
+++ b/benchmarks/scale/hollow.py
@@ -0,0 +1,283 @@
+"""Many hollow relays in one process: each with the program's own subscriber and module, and, where asked, its
+own socket in the fleet; with no clients and no deliveries. In place of the engine stands `Hollow`.
+
+A change that is looked for is the port in the address of a host that all serve (`Book.change` of the
+stand-in discovery): a relay goes by it once its module has handled the listing that tells it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import gc
+import logging
+import math
+import secrets
+import time
+from collections.abc import Callable, Iterable, Mapping
+from contextvars import copy_context
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import psutil
+
+from benchmarks.scale.accounts import slice_of
+from benchmarks.scale.children import work
+from benchmarks.scale.discovery import host
+from benchmarks.scale.links import CountingLoop, Links, whose
+from loftrelay.core.clock import wall_clock
+from loftrelay.core.ports import Slice
+from loftrelay.fleet.membership import State, Timing
+from loftrelay.fleet.node import Node
+from loftrelay.fleet.settings import FleetSettings
+from loftrelay.fleet.verdicts import Calls
+from loftrelay.membership.settings import SubscriptionSettings, load_subscription
+from loftrelay.membership.subscriber import Subscriber
+from loftrelay.net.address import Address
+from mulleinlead.adapter import read_settings
+from mulleinlead.brain import Brain
+from mulleinlead.interface import LetGo, Listing, SetTimer, Timer, WatchList
+from tests.standins.platform import SETTINGS
+
+BACK = 1.0  # seconds after which a client that was refused comes again
+STEP = 0.02  # seconds between first messages that are told together
+BEAT, SUSPECT = 200_000, 1_000_000  # of the fleet, microseconds: the defaults
+
+
+class Lines(logging.Handler):
+    """Counts the log's lines by the first words of their form; the hollow relays' log is not kept."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.INFO)
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.counts[f"{record.levelname} {record.name}: {str(record.msg)[:60]}"] += 1
+
+
+class Hollow:
+    """One relay. `seen`: change -> when the module had it, on the clock of the machine."""
+
+    def __init__(
+        self, number: int, told: SubscriptionSettings, notices: Address, cells: list[int], shared: int
+    ) -> None:
+        self.number, self.told, self.notices, self.cells, self.shared = number, told, notices, cells, shared
+        self.links = Links()
+        self.name = f"hollow{number}"
+        self.refused = 0
+        self.node: Node | None = None
+        self.alive = False
+
+    def start(self, pace: float) -> None:
+        self.seen: dict[int, float] = {}
+        self.held: set[int] = set()
+        self.whole: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+        self.began = time.monotonic()
+        settings = replace(read_settings(dict(SETTINGS)), list_on_request=True, ends_by_notice=True)
+        self.brain = Brain(self.number, settings)
+        self.addresses: dict[str, Address] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.retries: set[asyncio.TimerHandle] = set()
+        self.alive = True
+        context = copy_context()  # its tasks take this along
+        context.run(self._start, pace)
+
+    def _start(self, pace: float) -> None:
+        whose.set(self.links)
+        told = self.told, self.name, self.notices
+        self.subscriber = Subscriber(*told, self.listed, self.sliced, self.let_go)
+        self.subscriber.take_known({})
+        self.subscriber.watch()
+        self._want(list(reversed(self.cells)), pace)
+
+    def _want(self, left: list[int], pace: float) -> None:
+        for _ in range(max(1, round(pace * STEP)) if pace else len(left)):
+            if left:
+                self.subscriber.want(left.pop())
+        if left:
+            self._later(STEP, self._want, left, pace)
+
+    def _later(self, delay: float, what: Callable[..., None], *told: Any) -> None:
+        """Unless it is stopped before."""
+
+        def now() -> None:
+            self.retries.discard(handle)
+            what(*told)
+
+        handle = asyncio.get_running_loop().call_later(delay, now)
+        self.retries.add(handle)
+
+    def stop(self) -> None:
+        self.alive = False
+        self.subscriber.close()
+        if self.timer is not None:
+            self.timer.cancel()
+        for retry in self.retries:
+            retry.cancel()
+        if self.node is not None:
+            self.node.close()
+            self.node = None
+
+    # What the subscriber tells the engine
+
+    def listed(self, listing: Listing, addresses: Mapping[str, Address]) -> None:
+        if not self.alive:
+            return
+        self.addresses.update(addresses)
+        self._handle([listing])
+        now = time.monotonic()
+        for entry in listing.entries:
+            if entry.destination <= self.shared and entry.endpoint in addresses:
+                self.seen.setdefault(addresses[entry.endpoint][1], now)
+
+    def sliced(self, destination: int, what: Slice) -> None:
+        if not self.alive:
+            return
+        if what is Slice.HELD:
+            self.held.add(destination)
+            if len(self.held) == len(self.cells) and not self.whole.done():
+                self.whole.set_result(time.monotonic())
+            return
+        self.refused += 1
+        self._later(BACK, self.subscriber.want, destination)
+
+    def let_go(self, destinations: Iterable[int]) -> list[int]:
+        gone = list(destinations)
+        if self.alive:
+            self._handle([LetGo(tuple(gone))])
+            self.held.difference_update(gone)
+        return gone
+
+    def _handle(self, events: list[Any]) -> None:
+        loop = asyncio.get_running_loop()
+        for action in self.brain.handle(int(loop.time() * 1e6), events):
+            if isinstance(action, SetTimer):
+                if self.timer is not None:
+                    self.timer.cancel()
+                self.timer = loop.call_later(action.delay / 1e6, self._handle, [Timer(action.token)])
+            elif isinstance(action, WatchList):
+                self.subscriber.watch()
+
+    # The fleet
+
+    async def join(self, seeds: Iterable[Address]) -> Address:
+        timing = Timing(BEAT, SUSPECT)
+        told = FleetSettings("fleet", ("127.0.0.1", 0), None, tuple(seeds), timing)
+        self.node = Node(told, self.name, Calls(self.name, secrets.randbits(32)), lambda calls: None)
+        return await self.node.open(wall_clock() // 1000)
+
+
+class Relays:
+    """Those of this process; what the driver asks for. Relays are named by their numbers, None: all."""
+
+    def __init__(self) -> None:
+        self.all: dict[int, Hollow] = {}
+        self.lines = Lines()
+        logging.getLogger().addHandler(self.lines)
+        logging.getLogger().setLevel(logging.INFO)
+        self.process = psutil.Process()
+
+    def _of(self, numbers: list[int] | None) -> list[Hollow]:
+        return [relay for n, relay in self.all.items() if numbers is None or n in set(numbers)]
+
+    async def begin(
+        self, numbers: list[int], among: int, destinations: int, size: int, shared: int, few: int,
+        seed: int, file: str, notices: Address,
+    ) -> dict[str, Any]:  # fmt: skip
+        """`file`: the subscription's. Nothing is started."""
+        told = load_subscription(Path(file))
+        for n in numbers:
+            cells = slice_of(n, among, destinations, size, shared, few, seed)
+            self.all[n] = Hollow(n, told, (notices[0], notices[1]), cells, shared)
+        return await self.counts()
+
+    async def start(
+        self, numbers: list[int] | None, within: float, pace: float, at_once: int
+    ) -> dict[str, Any]:
+        """Seconds until each had its whole slice; `missing` had not `within` that time. `pace`: first
+        messages that each hears in a second; 0: all at its start. `at_once`: so many start, the next when
+        they have theirs; 0: all."""
+        relays = self._of(numbers)
+        end = time.monotonic() + within
+        step = at_once or max(1, len(relays))
+        for first in range(0, len(relays), step):
+            part = relays[first : first + step]
+            for relay in part:
+                relay.start(pace)
+            await asyncio.wait([relay.whole for relay in part], timeout=max(0.0, end - time.monotonic()))
+        took = [relay.whole.result() - relay.began for relay in relays if relay.whole.done()]
+        return {"took": took, "missing": len(relays) - len(took)}
+
+    async def stop(self, numbers: list[int] | None) -> None:
+        for relay in self._of(numbers):
+            relay.stop()
+
+    async def seen(self, change: int, numbers: list[int] | None, within: float) -> dict[str, Any]:
+        """When each that lives had that change; waits until all have it."""
+        end = time.monotonic() + within
+        while True:
+            relays = [relay for relay in self._of(numbers) if relay.alive]
+            seen = [relay.seen[change] for relay in relays if change in relay.seen]
+            if len(seen) == len(relays) or time.monotonic() >= end:
+                return {"seen": seen, "missing": len(relays) - len(seen)}
+            await asyncio.sleep(0.05)
+
+    async def astray(self, change: int, destination: int, numbers: list[int] | None) -> int:
+        """How many of those that live go by something else than that change of the destination's host."""
+        relays = [relay for relay in self._of(numbers) if relay.alive]
+        return sum(relay.addresses.get(host(destination), ("", 0))[1] != change for relay in relays)
+
+    async def cut(self, places: list[Address], numbers: list[int] | None) -> None:
+        for relay in self._of(numbers):
+            relay.links.cut([(host, port) for host, port in places])
+
+    async def heal(self, numbers: list[int] | None) -> None:
+        for relay in self._of(numbers):
+            relay.links.heal()
+
+    async def counts(self, whole: bool = False) -> dict[str, Any]:
+        """`bytes`: of each relay, both ways; `mb`: of the process, its own pages alone."""
+        if whole:
+            gc.collect()
+        relays = list(self.all.values())
+        links = [relay.links for relay in relays]
+        return {
+            "at": time.monotonic(),
+            "cpu": time.process_time(),
+            "mb": self.process.memory_full_info().uss / 1e6 if whole else math.nan,
+            "sent": [link.sent for link in links],
+            "heard": [link.heard for link in links],
+            "pieces": sum(link.pieces for link in links),
+            "opened": sum(link.opened for link in links),
+            "moves": sum(link.moves for link in links),
+            "refused": sum(relay.refused for relay in relays),
+            "held": sum(len(relay.held) for relay in relays if relay.alive),
+            "lines": dict(self.lines.counts.most_common(12)),
+            "datagram_bytes": [relay.node.counts["sent_bytes"] for relay in relays if relay.node is not None],
+        }
+
+    async def join(self, numbers: list[int] | None, seeds: list[Address]) -> list[Address]:
+        return [await relay.join([(host, port) for host, port in seeds]) for relay in self._of(numbers)]
+
+    async def known(self) -> int:
+        """How many others the one of them that knows the fewest holds to be alive."""
+        nodes = [relay.node for relay in self.all.values() if relay.node is not None]
+        return min(sum(p.state is State.ALIVE for p in node.members) for node in nodes)
+
+
+async def main() -> None:
+    relays = Relays()
+    does: dict[str, Callable[..., Any]] = {
+        "begin": relays.begin, "start": relays.start, "stop": relays.stop, "seen": relays.seen,
+        "astray": relays.astray, "cut": relays.cut, "heal": relays.heal, "counts": relays.counts,
+        "join": relays.join, "known": relays.known,
+    }  # fmt: skip
+    with contextlib.suppress(KeyboardInterrupt):
+        await work(does)
+
+
+if __name__ == "__main__":
+    with asyncio.Runner(loop_factory=CountingLoop) as runner:
+        runner.run(main())
