--- a/tests/benchmarks/test_slopes.py
+++ b/tests/benchmarks/test_slopes.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 
 import pytest
 
 from benchmarks import slope_cases
+from benchmarks.process import ROOT
 from benchmarks.slopes import CASES, SLOPES, Case, Slope, judged, measure, run_once, table
 from benchmarks.watch_server import row
 from loftrelay.fleet.membership import Timing
 from loftrelay.lab.links import MS, SECOND
+from tests.standins.platform import HANG
 
 
 def test_a_slope_is_judged_by_its_largest_size_and_told_at_the_target() -> None:
@@ -74,3 +78,13 @@
     seen = slope_cases.sockets(4, seconds=1.0)
     # A probe and an answer each beat of 200 ms; a busy machine may hold up some.
     assert 0 < seen["sent_per_s"] < 20 and seen["heard_per_s"] > 0 and seen["relay_ms_per_s"] > 0
+
+
+def test_the_last_line_is_json_with_each_slope_that_was_asked_for() -> None:
+    command = [sys.executable, "-m", "benchmarks.slopes", "--quick", "--only", "listing_change", "miss_rate"]
+    done = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, text=True, check=True, timeout=HANG)
+    told = json.loads(done.stdout.splitlines()[-1])
+    assert set(told["slopes"]) == {"listing_change", "module_memory"}
+    change = told["slopes"]["listing_change"]
+    assert change["target"]["size"] == 870_000 and change["prediction_error"] >= 0
+    assert len(told["miss_rate"]) == 25 and told["miss_rate"][0]["in_use"]["10"] > 1_000
