--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -120,7 +120,8 @@
             ("fleet_start", "membership", "start_known_s", "s of virtual time", LOG_N),
             ("fleet_restart", "membership", "restart_bytes", "bytes a relay sends for one restart", LOG_N),
             ("fleet_joining", "joining", "all_know_all_s", "s of virtual time", None),
-            ("fleet_joining_cpu", "joining", "joining_cpu_s", "s", None),
+            # With n as many datagrams, and each picks from news of n: a power, over one.
+            ("fleet_joining_cpu", "joining", "joining_cpu_s", "s", Kind.POWER),
             ("fleet_joining_bytes", "joining", "joining_bytes", "bytes a relay sends", None),
         )
     ),
