Registry: a new count that has come up to the old number; less memory, shorter stand-stills

The model test found a relay that had not called while discovery counted anew and whose number the new count had come up to: it kept rows of hosts long gone. A registry remembers now which of its subscriptions are of the old count: their next watch is answered 410, and what they tell that they have is told whole. Where no registry remembers the relay it can't be seen, as a relay at discovery can't.

--- a/loftrelay/registry/protocol.py
+++ b/loftrelay/registry/protocol.py
@@ -36,8 +36,9 @@
 
     `add`: cells of which the relay has nothing: each is told whole. `have`: cells of which it has all up to
     revision `index`: told whole only where anything changed since, or where that is not known. `drop`: told
-    of no more. All three may be told again without harm. `seq` grows with each call of one subscriber; one
-    that is not above the last is answered 410: it was overtaken. `reset`: the set was empty before."""
+    of no more, and before the others. All three may be told again without harm. `seq` grows with each call of
+    one subscriber: one below the last is answered 410, since it was overtaken, and the last may be repeated.
+    `reset`: the set was empty before."""
 
     fleet: str
     subscriber: str  # the relay's name and life, `NAME.LIFE`: no two processes share one
@@ -51,7 +52,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Watch:
-    """Waits until something in the subscription is newer than `index`, or `wait` milliseconds have passed."""
+    """Waits until something in the subscription is newer than `index`, or `wait` milliseconds have passed. A
+    newer one of the same subscriber ends it, with nothing new. Answered 410 where discovery has counted anew
+    since, and where more than MOST_CELLS cells would have to be told whole at once."""
 
     fleet: str
     subscriber: str
@@ -64,7 +67,8 @@
     """Of a registry to either call, status 200.
 
     `revision`: discovery's, up to which the registry knows the list. `members`: rows in discovery's form, of
-    whole cells and, in a watch's answer, of entries that changed after `index` ("Gone" among them). `cells`:
+    whole cells and, in a watch's answer, of entries that changed after `index` ("Gone" among them, and first:
+    it concerns that cell, and a host that moved to another stands there, too). `cells`:
     those that are told whole: a host of one that is not among `members` is no longer listed there, and one
     with no members at all has none. `age`: milliseconds since the registry last heard discovery. `seq`,
     `count`, `sum`: the last change that is in the subscription, how many cells it holds, and their sum modulo
--- a/loftrelay/registry/subscriptions.py
+++ b/loftrelay/registry/subscriptions.py
@@ -10,9 +10,10 @@
 from bisect import bisect_left
 from collections.abc import Sequence
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Any
 
-from loftrelay.registry.catalog import Catalog
+from loftrelay.registry.catalog import Catalog, Parts
 from loftrelay.registry.protocol import FORBIDDEN, GONE, MOST_CELLS, Change, Watch
 
 
@@ -35,16 +36,26 @@
     rows: Sequence[bytes]
 
 
+class Count(Enum):
+    """Whether a relay's revisions are of discovery's present count. Where that count began anew and has come
+    up to what the relay knows, the numbers alone don't tell."""
+
+    SAME = auto()
+    ANEW = auto()  # it began anew since: the set is to be told anew
+    TOLD = auto()  # the set is being told: until the next watch, what the relay has is told whole
+
+
 class Subscription:
     """One relay's life. Its cells stand in order, eight bytes each: there are many."""
 
-    __slots__ = ("cells", "name", "newest", "seen", "seq", "sum", "watch")
+    __slots__ = ("cells", "count", "name", "newest", "seen", "seq", "sum", "watch")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.cells = array("q")
         self.sum = 0
         self.seq = 0
+        self.count = Count.SAME
         self.newest = 0  # no change of its cells is of a later revision
         self.seen = 0.0  # the last call, or its end
         self.watch: Parked | None = None
@@ -54,6 +65,10 @@
         return at < len(self.cells) and self.cells[at] == cell
 
 
+Subscribed = Subscription | tuple[Subscription, ...] | set[Subscription]  # to one cell: most have one, or few
+FEW = 8
+
+
 @dataclass(slots=True, eq=False)
 class Parked:
     """A watch that waits. `token`: of who has to answer it."""
@@ -74,7 +89,7 @@
     def __init__(self, fleet: str, catalog: Catalog, forget: float) -> None:
         self.fleet, self.catalog, self.forget = fleet, catalog, forget
         self.of: dict[str, Subscription] = {}
-        self._by_cell: dict[int, Subscription | set[Subscription]] = {}
+        self._by_cell: Parts[int, Subscribed] = Parts()
         self._touched: dict[Subscription, None] = {}
         self.woken = 0  # watches that a change ended
         self.watches = 0  # that wait
@@ -95,6 +110,9 @@
         subscription.seq, subscription.seen = call.seq, now
         if call.reset:
             self._empty(subscription)
+            if subscription.count is Count.ANEW:
+                subscription.count = Count.TOLD
+        unknown = subscription.count is not Count.SAME or call.index > self.catalog.revision
         catalog = self.catalog
         for cell in call.drop:
             self._drop(subscription, cell)
@@ -104,7 +122,7 @@
             self._add(subscription, cell)
         for cell in call.have:
             self._add(subscription, cell)
-            if catalog.changed(cell) > call.index or call.index > catalog.revision:
+            if unknown or catalog.changed(cell) > call.index:
                 whole[cell] = None
         return self._told(subscription, tuple(whole), [row for cell in whole for row in catalog.whole(cell)])
 
@@ -116,6 +134,9 @@
         if subscription is None:
             raise Refused(GONE, f"subscriber = {call.subscriber!r}: not known here, tell the whole set")
         subscription.seen = now
+        if subscription.count is Count.ANEW:
+            raise Refused(GONE, f"index = {call.index}: discovery counts anew since, tell the whole set")
+        subscription.count = Count.SAME
         told = self._news(subscription, call.index)
         older = subscription.watch
         if older is not None:
@@ -181,13 +202,16 @@
         subscription.cells.insert(at, cell)
         subscription.sum += cell
         self.cells += 1
-        there = self._by_cell.get(cell)
+        part = self._by_cell.of(cell)
+        there = part.get(cell)
         if there is None:
-            self._by_cell[cell] = subscription
+            part[cell] = subscription
         elif isinstance(there, set):
             there.add(subscription)
+        elif isinstance(there, tuple):
+            part[cell] = (*there, subscription) if len(there) < FEW else {*there, subscription}
         else:
-            self._by_cell[cell] = {there, subscription}
+            part[cell] = (there, subscription)
 
     def _drop(self, subscription: Subscription, cell: int) -> None:
         at = bisect_left(subscription.cells, cell)
@@ -199,13 +223,15 @@
 
     def _forget(self, subscription: Subscription, cell: int) -> None:
         self.cells -= 1
-        there = self._by_cell[cell]
-        if isinstance(there, set):
+        part = self._by_cell.of(cell)
+        there = part[cell]
+        if isinstance(there, Subscription):
+            del part[cell]
+        elif isinstance(there, set) and len(there) > FEW:
             there.remove(subscription)
-            if len(there) == 1:
-                self._by_cell[cell] = there.pop()
         else:
-            del self._by_cell[cell]
+            others = tuple(other for other in there if other is not subscription)
+            part[cell] = others if len(others) > 1 else others[0]
 
     def _empty(self, subscription: Subscription) -> None:
         for cell in subscription.cells:
@@ -219,7 +245,7 @@
         there = self._by_cell.get(cell)
         if there is None:
             return
-        for subscription in there if isinstance(there, set) else (there,):
+        for subscription in (there,) if isinstance(there, Subscription) else there:
             subscription.newest = max(subscription.newest, revision)
             self._touched[subscription] = None
 
@@ -230,7 +256,7 @@
         if everyone:
             touched = dict.fromkeys(self.of.values())
             for subscription in touched:
-                subscription.newest = self.catalog.revision
+                subscription.newest, subscription.count = self.catalog.revision, Count.ANEW
         woken = [s.watch for s in touched if s.watch is not None and (everyone or s.watch.index < s.newest)]
         self.woken += len(woken)
         return woken
--- a/loftrelay/registry/upstream.py
+++ b/loftrelay/registry/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import random
 from collections.abc import Callable
@@ -111,8 +112,16 @@
         if not self._whole:
             wait = MOST_WAIT if self._held else 0.0
             target += f"?index={self.catalog.revision}&wait={int(wait * 1000)}"
-        async with asyncio.timeout(CONNECT + wait + MOST_TIME):
-            staged, reader = await self._call(target, wait + PATIENCE)
+        first = not self.catalog.known
+        if first:
+            gc.disable()  # it looks at every row again and again: the loop would stand still for 100 ms
+        try:
+            async with asyncio.timeout(CONNECT + wait + MOST_TIME):
+                staged, reader = await self._call(target, wait + PATIENCE)
+        finally:
+            if first:
+                gc.freeze()  # and looks at these no more
+                gc.enable()
         revision, complete = reader.end()
         self.heard_at = asyncio.get_running_loop().time()
         if not complete and (staged.first or revision < self.catalog.revision):
--- a/tests/registry/test_listing.py
+++ b/tests/registry/test_listing.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from loftrelay.registry import listing
@@ -32,6 +32,7 @@
     return rows, *reader.end()
 
 
+@settings(deadline=None, derandomize=True)
 @given(
     st.integers(0, 1 << 53), st.booleans(), MEMBERS, st.sampled_from([None, 0, 2]), st.permutations(range(4)),
     st.lists(st.integers(0, 1 << 20), max_size=40), VALUES, st.booleans(),
@@ -88,6 +89,7 @@
             read(body, cuts)
 
 
+@settings(deadline=None, derandomize=True)
 @given(st.binary(max_size=200))
 def test_any_bytes_are_a_list_or_a_value_error(data: bytes) -> None:
     for body in (data, b'{"revision":1,"complete":true,"members":[' + data):
--- a/tests/registry/test_protocol.py
+++ b/tests/registry/test_protocol.py
@@ -6,7 +6,7 @@
 import json
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from loftrelay.registry import protocol
@@ -19,6 +19,7 @@
 WATCHES = st.builds(Watch, NAMES, NAMES, NUMBERS, st.integers(0, 60_000))
 
 
+@settings(deadline=None, derandomize=True)
 @given(CHANGES | WATCHES)
 def test_a_call_is_read_as_it_was_written(call: Change | Watch) -> None:
     text = protocol.target(call)
@@ -83,6 +84,7 @@
     assert len(str(caught.value)) < 400 and "\n" not in str(caught.value)
 
 
+@settings(deadline=None, derandomize=True)
 @given(st.binary().map(lambda data: data.decode("latin-1")) | st.text())
 def test_no_target_raises_anything_else(text: str) -> None:
     for target in (text, f"{protocol.PATH}?{text}", f"{WHO}&{text}"):
@@ -97,6 +99,7 @@
 )
 
 
+@settings(deadline=None, derandomize=True)
 @given(NAMES, st.lists(NUMBERS, min_size=5, max_size=5), CELLS, ROWS)
 def test_an_answer_is_read_as_it_was_written(
     fleet: str, numbers: list[int], cells: tuple[int, ...], rows: list[dict[str, object]]
@@ -108,6 +111,7 @@
     assert json.loads(body)["complete"] is False  # a reader of discovery's form takes it for changes
 
 
+@settings(deadline=None, derandomize=True)
 @given(st.binary())
 def test_no_bytes_raise_anything_else_than_that_they_cant_be_read(body: bytes) -> None:
     for text in (body, b'{"fleet":"f","revision":' + body, b"[" * 100_000):
--- a/tests/registry/test_subscriptions.py
+++ b/tests/registry/test_subscriptions.py
@@ -119,6 +119,21 @@
     assert w.list_changes(row("x", 19)) == [] and w.of.woken == 2
 
 
+@pytest.mark.parametrize("count", [1, 2, 3, 8, 9, 10, 40])
+def test_a_cell_has_any_number_of_subscribers(count: int) -> None:
+    w = World()
+    for number in range(count):
+        w.change(1, name=f"r{number}.1", reset=True, add=(3, 4))
+    for left in range(count, -1, -1):  # one after the other lets go of it
+        for number in range(count):
+            w.watch(w.catalog.revision, name=f"r{number}.1", token=number)
+        woken = w.list_changes(row("h3", 3, locality=f"at {left}"))
+        assert sorted(parked.token for parked in woken) == list(range(count - left, count))
+        if left:
+            w.change(2, name=f"r{count - left}.1", drop=(3,))
+    assert w.of.cells == count
+
+
 def test_a_watch_is_answered_at_once_where_something_is_newer() -> None:
     w = World()
     w.change(1, reset=True, add=(3, 4))
@@ -180,6 +195,25 @@
     told = w.of.end(parked, w.now)
     assert not told.rows and not told.cells and w.catalog.revision == 2
     assert w.change(2, index=900, have=(3,)).cells == (3,)
+    assert refused(w, Watch("f", "a.1", 2, 0)) == GONE
+    assert w.change(3, reset=True, index=2, have=(3,)).cells == (3,)
+    assert isinstance(w.watch(2), Parked)
+    assert w.change(4, index=2, have=(3,)).cells == ()
+
+
+def test_a_new_count_that_has_come_up_to_the_old_number_is_told_all_the_same() -> None:
+    """The relay did not call meanwhile: from the numbers it can't see that these are others."""
+    w = World()
+    w.change(1, reset=True, add=(3, 4))
+    w.list_changes()
+    w.catalog.load(1, [read_entry(row("h3", 3, "Terminating")), read_entry(row("h4", 4))])
+    w.of.wake(everyone=True)
+    w.list_changes(row("h9", 9))
+    assert w.catalog.revision == 2
+    assert refused(w, Watch("f", "a.1", 2, 0)) == GONE
+    told = w.change(2, reset=True, index=2, have=(3,))
+    assert told.cells == (3,) and ids(told) == [("h3", "Terminating")]
+    assert w.change(3, index=2, have=(4,)).cells == (4,)  # the set came in two calls
     assert isinstance(w.watch(2), Parked)
 
 
