A fault while news is told on holds up neither the rest nor the watch

Cause: an error of the engine while it was told a listing lost the actions after it, a first message's answer among them, and the rows counted as told: seen by the new test, which waited in vain for 60 s.

--- a/loftrelay/membership/interest.py
+++ b/loftrelay/membership/interest.py
@@ -113,7 +113,8 @@
 @dataclass(slots=True)
 class Cell:
     """`hosts`: None before it was told. `at`: the revision as of which it was told whole; it is known as of
-    the slice's revision where that is higher. `doubted`: to be told whole, whatever stands here."""
+    the slice's revision where that is higher. `doubted`: to be told whole, whatever stands here, and told on
+    whole."""
 
     hosts: dict[str, Row] | None = None
     at: int = 0
@@ -569,7 +570,7 @@
         if row[0].state is State.GONE:
             self._remove(number, hosts, host, gone)
             return
-        if hosts.get(host) == row:
+        if hosts.get(host) == row and not self.cells[number].doubted:
             return
         before = self.cells.get(self.where.get(host, number))
         if before is not None and before.hosts is not None and before.hosts is not hosts:
--- a/loftrelay/membership/subscriber.py
+++ b/loftrelay/membership/subscriber.py
@@ -131,7 +131,12 @@
         try:
             while actions := self.interest.take():
                 for action in actions:
-                    self._do_one(action)
+                    try:
+                        self._do_one(action)
+                    except Exception:
+                        # A fault of the program. Who waits for the rest has to hear it all the same.
+                        log.exception("a registry's news was not taken")
+                        self.interest.spoilt(self._now())
         finally:
             self.doing = False
             self._set_timer()
