Slices: a relay whose registry is cut off looks at the others, also at those it left lately

Cause: Interest._look_at_age held one that was left lately to be as old as it was then, for 60 s. The change: where the news of the registry in use is older than stale_ms, the others are looked at one by one by an empty subscription, beside the watch, and the first that is fresher by 1 s is gone to; rounds that find none grow rarer.

--- a/loftrelay/membership/interest.py
+++ b/loftrelay/membership/interest.py
@@ -42,7 +42,8 @@
 RETURN, MOST_RETURN = 30.0, 600.0  # before the first registry of the order is looked at again
 MOST_RESETS = 3  # in a row at one registry, with no watch that was answered between
 REMEMBERED = 8  # changes whose count and sum are known yet: answers to watches may be as old
-LOOKED_AT = 10  # times `stale` for which it is known how old a registry's news was
+MOST_ROUND = 8  # times `stale` at the most between two rounds of looks for fresher news
+FRESHER = 1.0  # seconds by which another registry's news has to be, for a move
 
 Row = tuple[Entry, Address]
 
@@ -139,7 +140,6 @@
 @dataclass(slots=True)
 class Registry:
     address: Address
-    tried: float = -math.inf  # the last time
     heard: float = -math.inf  # when it had heard discovery, as it said then
     said: str = ""  # of it in the log
 
@@ -201,7 +201,10 @@
     return_at: float = math.inf
     older_since: float | None = None
     of_no_use: set[int] = field(default_factory=set)  # places, since then
-    moved_at: float = -math.inf  # for the age of its news
+    look_place: int = 0  # whom the look that is out is at
+    to_look: list[int] = field(default_factory=list)  # places, for news that is fresher than the one's in use
+    rounds: int = 0  # of such looks in a row that found none
+    round_at: float = -math.inf  # no sooner is the next
     actions: list[Action] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -312,8 +315,7 @@
         self._go_on(now)
         if self.mode is Mode.WATCHING and self.look is None and now >= self.return_at:
             self.return_at = math.inf
-            look = Change(self.fleet, f"{self.subscriber}.look", self.number, reset=True)
-            self.look = self._call(Channel.LOOK, self.order[0].address, target(look), 0.0)
+            self._look_at(0)
         if now >= self._sweep_at():
             self._sweep(now)
 
@@ -346,12 +348,12 @@
         if self.mode not in (Mode.OFF, Mode.RESTING):
             self.actions.append(HangUp())
         self.asked = self.watch = self.look = None
+        self.to_look.clear()
 
     def _begin(self, now: float) -> None:
         """The registry at `place` is told the whole set."""
         self._hang_up()
         self.mode, self.begun, self.reset, self.oldest_piece = Mode.TELLING, now, True, None
-        self.order[self.place].tried = now
         for table in (self.told, self.expected, self.dropped, self.retold):
             table.clear()
         self.sum = 0
@@ -419,8 +421,10 @@
         """The call was not answered, or with what can't be read."""
         if number == self.look:
             self.look = None
-            self.returns += 1
-            self._return_later(now)
+            if self.return_at == math.inf and self.place and self.look_place == 0:
+                self.returns += 1
+                self._return_later(now)
+            self._look_on()
         elif self._is_out(number):
             self._fail(now, why)
 
@@ -445,12 +449,15 @@
     def heard(self, now: float, number: int, answer: Answer, rows: Sequence[Row]) -> None:
         """Answered. `rows`: the answer's, read."""
         if number == self.look:
-            old = answer.revision < self.index or answer.age / 1000 > self.timing.stale
-            if old or answer.fleet != self.fleet:
-                self.failed(now, number, "")
-            else:
-                self._move(0)
+            heard = now - answer.age / 1000
+            fresh = answer.age / 1000 <= self.timing.stale and self.look_place == 0
+            if not fresh:
+                fresh = heard > self.order[self.place].heard + FRESHER and bool(self.rounds)
+            if answer.fleet == self.fleet and answer.revision >= self.index and fresh:
+                self._move(self.look_place)
                 self._begin(now)
+            else:
+                self.failed(now, number, "")
         elif self.asked is not None and number == self.asked.number:
             change, self.asked = self.asked.change, None
             if self._believe(now, answer, change.index, change.seq):
@@ -475,7 +482,7 @@
         if known != (answer.count, answer.sum) or seq not in (None, answer.seq):
             self._tell_anew(now, "holds another set than was told")
             return False
-        registry.tried, registry.heard = now, now - answer.age / 1000
+        registry.heard = now - answer.age / 1000
         self.answered = True
         self.older_since = None
         self.of_no_use.clear()
@@ -647,19 +654,31 @@
         self._begin(now)
 
     def _look_at_age(self, now: float, answer: Answer) -> None:
-        """Tries another registry where discovery's news is old at this one, and stays with the freshest."""
-        stale = self.timing.stale
-        if answer.age / 1000 <= stale or now - self.moved_at < stale or self.mode is not Mode.WATCHING:
-            return
-        self.moved_at = now
-        places = [(self.place + step) % len(self.order) for step in range(len(self.order))]
-        unknown = [p for p in places if now - self.order[p].tried > LOOKED_AT * stale]
-        freshest = max(places, key=lambda p: self.order[p].heard)
-        if not unknown and self.order[freshest].heard < self.order[self.place].heard + LEAST_GAP:
-            return
-        self._say("has heard nothing of discovery for too long")
-        self._move(unknown[0] if unknown else freshest)
-        self._begin(now)
+        """Looks at all others where discovery's news is old at this one, and moves to the first that is
+        fresher.
+
+        Trouble: one that was left lately, since it had stood still, was held to be as old as it was then, and
+        not asked: relays stayed with one that was cut off, beside it, for 48 s."""
+        if answer.age / 1000 <= self.timing.stale:
+            self.rounds = 0
+            self.to_look.clear()
+        elif self.mode is Mode.WATCHING and not self.to_look and now >= self.round_at:
+            self._say("has heard nothing of discovery for too long")
+            self.rounds += 1
+            most = min(2 ** (min(self.rounds, 10) - 1), MOST_ROUND)
+            self.round_at = now + self.timing.stale * most * self.chance.uniform(0.5, 1)
+            self.to_look = [(self.place + step) % len(self.order) for step in range(1, len(self.order))]
+            self._look_on()
+
+    def _look_on(self) -> None:
+        if self.look is None and self.to_look and self.mode is Mode.WATCHING:
+            self._look_at(self.to_look.pop(0))
+
+    def _look_at(self, place: int) -> None:
+        """By an empty subscription, beside the watch that goes on."""
+        self.look_place = place
+        look = Change(self.fleet, f"{self.subscriber}.look", self.number, reset=True)
+        self.look = self._call(Channel.LOOK, self.order[place].address, target(look), 0.0)
 
 
 def _name(registry: Registry) -> str:
--- a/tests/membership/test_interest.py
+++ b/tests/membership/test_interest.py
@@ -319,6 +319,47 @@
     assert list(relay.hosts[1]) == ["h1"]
 
 
+def test_one_that_was_left_lately_is_looked_at_where_the_one_in_use_is_cut_off() -> None:
+    """It stood still for 10 s and was left; then the other lost discovery: that showed 48 s later."""
+    for shift in range(8):
+        told, registries, relay = make(number=2, stale=6.0)
+        relay.want(1)
+        relay.run(0.1 + 0.3 * shift)
+        first = relay.first
+        other = next(registry for registry in registries if registry is not first)
+
+        def hear(seconds: int, *those: Registry, relay: Relay = relay, told: List = told) -> None:
+            for _ in range(seconds):
+                for registry in those:
+                    registry.hear(relay.now, told)
+                relay.run(1.0)
+
+        first.dead = True
+        hear(10, other)
+        first.dead = False
+        hear(1, first, other)
+        assert relay.first is other
+        relay.interest.return_at = relay.now + 600.0  # it is not gone back to for other reasons
+        began, moved = relay.now, relay.interest.counts["moved"]
+        hear(3, first)
+        told.set("h1", 1, State.GONE)
+        told.set("h6", 1, State.LISTED)
+        while list(relay.hosts[1]) != ["h6"]:
+            hear(1, first)
+            assert relay.now - began < 12.0, shift
+        hear(30, first)
+        assert relay.interest.counts["moved"] - moved == 1 and relay.first is first
+
+
+def test_looks_grow_rarer_where_discovery_is_away_from_all() -> None:
+    _, registries, relay = make(number=3, stale=6.0, idle=3600.0)
+    relay.want(1)
+    relay.run(600.1)
+    looks = sum(call.channel is Channel.LOOK for _, call in relay.calls)
+    assert 8 <= looks <= 60 and len(registries) == 3  # every 6 s it would be 200
+    assert list(relay.hosts[1]) == ["h1"]
+
+
 def test_relays_go_back_to_a_registry_that_is_there_again_spread_over_time() -> None:
     backs = []
     for number in range(40):
