A long list is taken in pieces or refused in one line; nobody is sent to a relay with none

Change: Connection and Caller have a limit for each use (messages' answers keep 1 MiB) and raise AnswerTooLong with size and limit; an answer over 1 MiB has a second more for each 4 MiB. Over 64 KiB discovery's list is taken in pieces of 200 hosts: what differs from the list in force as CHANGES, what is gone last, revision once it is in; left in the midst, the whole list is asked for. Collections of garbage looked at all hosts: gc.freeze every five pieces, and LetGo leaves no cycle.

--- a/loftrelay/app.py
+++ b/loftrelay/app.py
@@ -37,7 +37,9 @@
         engine.pulse, engine.told, engine.bound,
     )  # fmt: skip
     where = config.discovery if handed is None else handed.discovery
-    discovery = Discovery(where, config.settings.ask_every, engine.listed)
+    discovery = Discovery(
+        where, config.settings.ask_every, engine.listed, lambda: engine.entries, engine.list_refused
+    )
     notices = Notices(where, engine.noticed)
     if handed is not None:
         engine.take_over(delivery, discovery, notices, handed)
--- a/loftrelay/core/engine.py
+++ b/loftrelay/core/engine.py
@@ -92,6 +92,7 @@
         self.now = 0
         self.timer: asyncio.TimerHandle | None = None
         self.destinations: set[int] = set()  # that a list has named
+        self.no_list = False  # one was refused, and there never was another: nobody is served
         self.stopped = False
         self.away: Away | None = None  # this process decides nothing: who hears what still becomes known
         self.given = False  # another process owns all that is held here
@@ -478,7 +479,13 @@
             for watcher in self.watchers:
                 watcher.brought_back(host)
 
+    def list_refused(self) -> None:
+        """A list was too long to be taken. Whatever is in force stays."""
+        self.figures.lists_refused += 1
+        self.no_list = not self.destinations
+
     def listed(self, listing: api.Listing, addresses: Mapping[str, Address]) -> None:
+        self.no_list = self.no_list and listing.form is api.Form.FAILED
         if listing.form is api.Form.FULL:
             for host in set(self.bundles) - set(addresses):
                 self._forget(host)
--- a/loftrelay/figures/registry.py
+++ b/loftrelay/figures/registry.py
@@ -36,6 +36,7 @@
         self.forwards = 0  # messages written whole to hosts
         self.sighup_applied = 0
         self.sighup_rejected = 0
+        self.lists_refused = 0
         self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
@@ -62,4 +63,6 @@
             "sighup_applied": self.sighup_applied,
             "sighup_rejected": self.sighup_rejected,
         }
+        if self.lists_refused:
+            told["lists_refused"] = self.lists_refused
         return [f"{PREFIX}{name}={value}" for name, value in told.items()]
--- a/loftrelay/fronts/http/server.py
+++ b/loftrelay/fronts/http/server.py
@@ -274,7 +274,7 @@
         if self.request.target == READY.encode():
             if self.request.method not in (b"GET", b"HEAD"):
                 raise BadRequest(405, "only GET and HEAD")
-            self._answer(200)
+            self._answer(503 if self.server.engine.no_list else 200)
             return
         engine = self.server.engine
         # A message's time counts from when its client wrote it: on a loop that is late that was a while ago.
--- a/loftrelay/membership/discovery.py
+++ b/loftrelay/membership/discovery.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, replace
 from typing import Any
 
+try:
+    import msgspec
+except ImportError:  # the extra `lists`
+    msgspec = None  # type: ignore[assignment]
+
 from loftrelay.membership.caller import Caller
 from loftrelay.net.address import Address, parse_address
-from loftrelay.net.http import ConnectionBroken
+from loftrelay.net.http import AnswerTooLong, ConnectionBroken
 from mulleinlead.interface import Entry, Form, Listing, State
 
 log = logging.getLogger(__name__)
@@ -23,6 +30,16 @@
 PATIENCE = 2.2  # seconds for an answer beyond that wait: discovery turns away what waited for 2 s
 CONNECT = 1.0  # seconds for a connection to come up
 LEAST_GAP = 0.05  # between calls: a watch that answers at once must not become a busy loop
+# Trouble: a list of 50,000 hosts that was taken at one go held the loop up for 5 s. Up to AT_ONCE bytes, some
+# 400 hosts, it is taken so; a longer one in pieces of so many hosts, with a pause after each that has news.
+AT_ONCE, PIECE, PAUSE = 64 << 10, 200, 0.005
+# Trouble: collections of garbage that looked at all hosts took up to 230 ms. Every so many pieces what
+# is there is taken out of their sight; it goes when it is forgotten, as no cycles lead there.
+FREEZE_EVERY = 5
+# Bytes of a list that can be opened without holding the loop up for 50 ms: all of it is parsed at one go, or
+# with msgspec only cut into rows.
+MOST_PARSED, MOST_CUT = 2 << 20, 16 << 20
+MOST_LIST = MOST_PARSED if msgspec is None else MOST_CUT
 STATES = {"Ready": State.LISTED, "Terminating": State.DRAINING, "Gone": State.GONE}
 
 
@@ -32,8 +49,13 @@
         raise ValueError("the list has no members")
     if not isinstance(told.get("revision"), int) or not isinstance(told.get("complete"), bool):
         raise ValueError("the list has no revision, or does not say whether it is complete")
+    return told["revision"], told["complete"], read_rows(told["members"])
+
+
+def read_rows(rows: Iterable[Any]) -> list[tuple[Entry, Address]]:
+    """One that can't be read is passed over."""
     entries = []
-    for row in told["members"]:
+    for row in rows:
         try:
             size, identity, cell = row.get("size"), row["id"], row["cell"]
             if not isinstance(identity, str) or not isinstance(cell, int):
@@ -45,7 +67,44 @@
             entries.append((entry, parse_address(row["host_port"])))
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             log.warning("an entry of the list is passed over: %r in %.300r", error, row)
-    return told["revision"], told["complete"], entries
+    return entries
+
+
+if msgspec is not None:
+
+    class Cut(msgspec.Struct):
+        """A list whose rows are not parsed yet."""
+
+        revision: int
+        complete: bool
+        members: list[msgspec.Raw]
+
+    CUT = msgspec.json.Decoder(Cut)
+
+
+@dataclass(frozen=True, slots=True)
+class Long:
+    """A list that is taken in pieces."""
+
+    revision: int
+    complete: bool
+    rows: Sequence[Any]
+
+    def piece(self, first: int) -> list[tuple[Entry, Address]]:
+        rows = self.rows[first : first + PIECE]
+        if msgspec is not None:
+            rows = [msgspec.json.decode(row) for row in rows]
+        return read_rows(rows)
+
+
+def open_long(body: bytes) -> Long:
+    """Raises ValueError when it can't be read."""
+    if msgspec is not None:
+        cut = CUT.decode(body)
+        return Long(cut.revision, cut.complete, cut.members)
+    told = json.loads(body)
+    read_list({**told, "members": []} if isinstance(told, Mapping) else told)
+    return Long(told["revision"], told["complete"], told["members"])
 
 
 class Discovery:
@@ -54,14 +113,22 @@
         address: Address,
         ask_every: int | None,
         tell: Callable[[Listing, Mapping[str, Address]], None],
+        in_force: Callable[[], Mapping[str, tuple[Entry, Address]]] = dict,
+        refused: Callable[[], None] = lambda: None,
+        most_list: int = MOST_LIST,
     ) -> None:
+        """`in_force`: all entries that were told and are not gone. `refused`: told of each list that is
+        longer than `most_list`, in bytes. Such a one is a failed call."""
+        self.in_force, self.refused, self.most_list = in_force, refused, most_list
+        self.said: tuple[int | None, int] | None = None  # the last of these that the log tells of
         self.wait = min(MOST_WAIT, (ask_every or NO_ASK_EVERY) / 2e6)
         self.address = address
-        self.caller = Caller(address)
+        self.caller = Caller(address, most_list)
         self.tell = tell
         self.revision: int | None = None
         self.asked = False  # the last call was answered: the next may be held until there is something new
         self.task: asyncio.Task[None] | None = None
+        self.pieces = 0  # of the list that is being taken
 
     def take_known(self, known: Mapping[str, Any]) -> None:
         """The list as this relay last had it."""
@@ -82,14 +149,14 @@
     def move(self, address: Address) -> None:
         """The whole list comes anew: the other address may count its revisions in its own way."""
         self.close()
-        self.address, self.caller, self.revision, self.task = address, Caller(address), None, None
-        self.asked = False
+        self.address, self.caller = address, Caller(address, self.most_list)
+        self.revision, self.task, self.asked = None, None, False
         self.watch()
 
     def pause(self) -> None:
-        """Until the next `watch`, which goes on from the same revision."""
+        """Until the next `watch`, which goes on from the same revision; in the midst of a long list, anew."""
         self.close()
-        self.task, self.caller, self.asked = None, Caller(self.address), False
+        self.task, self.caller, self.asked = None, Caller(self.address, self.most_list), False
 
     def resume(self, revision: int | None) -> None:
         """Goes on where another process stopped."""
@@ -118,10 +185,15 @@
                 answer = await self.caller.ask("GET", target, wait + PATIENCE, connect=CONNECT)
                 if answer.status != 200:
                     raise ValueError(f"discovery answers {answer.status}")
-                self.revision, complete, entries = read_list(json.loads(answer.body))
-                self.asked = True
-                self._tell(Form.FULL if complete else Form.CHANGES, entries)
+                if len(answer.body) > AT_ONCE:
+                    await self._take(open_long(answer.body))
+                else:
+                    self.revision, complete, entries = read_list(json.loads(answer.body))
+                    self._tell(Form.FULL if complete else Form.CHANGES, entries)
+                self.asked, self.said = True, None
                 await asyncio.sleep(max(0.0, asked + LEAST_GAP - loop.time()))
+        except AnswerTooLong as error:
+            self._refuse(error.size, error.limit)
         except (OSError, ConnectionBroken, ValueError, RecursionError) as error:
             log.warning("the watch failed: %r", error)
         except Exception:
@@ -129,3 +201,43 @@
             log.exception("the watch failed")
         self.asked = False
         self.tell(Listing(Form.FAILED, ()), {})
+
+    async def _take(self, told: Long) -> None:
+        """Only what differs from the list in force is told: hosts that serve or drain as they come, those
+        that are gone last. The loop is free in between."""
+        self.revision = None  # if this is cut off, the list is a mixture: the whole one is to be asked for
+        self.pieces = 0
+        listed: set[str] = set()
+        for first in range(0, len(told.rows), PIECE):
+            entries = {entry.endpoint: (entry, address) for entry, address in told.piece(first)}
+            listed.update(entries)
+            in_force = self.in_force()
+            await self._tell_piece([new for host, new in entries.items() if in_force.get(host) != new])
+        if told.complete:
+            hosts = list(self.in_force())
+            for first in range(0, len(hosts), PIECE):
+                in_force = self.in_force()
+                gone = [in_force[host] for host in hosts[first : first + PIECE] if host not in listed]
+                await self._tell_piece([(replace(entry, state=State.GONE), at) for entry, at in gone])
+        self.revision = told.revision
+
+    async def _tell_piece(self, entries: list[tuple[Entry, Address]]) -> None:
+        if entries:
+            if self.pieces % FREEZE_EVERY == 0:
+                gc.collect(1)  # else what is garbage now would stay
+                gc.freeze()
+            self.pieces += 1
+            self._tell(Form.CHANGES, entries)
+        await asyncio.sleep(PAUSE if entries else 0)
+
+    def _refuse(self, size: int | None, limit: int) -> None:
+        """Said anew only when it has changed: it is asked for again and again."""
+        self.refused()
+        if self.said != (size, limit):
+            self.said = size, limit
+            told = f"{size}" if size is not None else f"more than {limit}"
+            hint = "" if msgspec is not None else "; the extra `lists` lifts the limit"
+            log.error(
+                "the list of %s bytes is over the limit of %d bytes (the list in force stays, of %d hosts%s)",
+                told, limit, len(self.in_force()), hint,
+            )  # fmt: skip
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -10,13 +10,15 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum, auto
+from functools import partial
 
 import h11
 
 from loftrelay.net.address import Address
 
 LOOKS = 3  # passes of the loop in which what has come unread is read: a stall may have held it up
-MOST_BODY = 1 << 20  # a whole list of hosts fits; an answer without end does not
+MOST_BODY = 1 << 20  # bytes of an answer, where nothing else is said: one without end does not fit
+SLOWEST = 4 << 20  # bytes a second: a longer answer that is coming in has so much more time for the rest
 START = b"HTTP/1."
 Headers = Iterable[tuple[bytes, bytes]]  # as they came, names in lower case
 DELIVERED = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
@@ -42,6 +44,14 @@
     """Something came that is no sound answer, while the connection stood."""
 
 
+class AnswerTooLong(AnswerSpoilt):
+    """`size`: what its head says, in bytes; None: it says nothing, and there was more than `limit`."""
+
+    def __init__(self, size: int | None, limit: int) -> None:
+        super().__init__(size, limit)
+        self.size, self.limit = size, limit
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     status: int
@@ -73,8 +83,10 @@
 
 
 class Connection(asyncio.Protocol):
-    def __init__(self) -> None:
+    def __init__(self, most_body: int = MOST_BODY) -> None:
+        """`most_body`: bytes; an answer with a longer body is given up as soon as that is known."""
         self.address: Address | None = None
+        self.most_body = most_body
         self.wire = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[Answer] | None = None
@@ -95,10 +107,11 @@
         self._limit: asyncio.TimerHandle | None = None
 
     @classmethod
-    async def open(cls, address: Address, timeout: float) -> Connection:
+    async def open(cls, address: Address, timeout: float, most_body: int = MOST_BODY) -> Connection:
         """Raises OSError (TimeoutError among them) if it does not come up in time."""
+        loop = asyncio.get_running_loop()
         async with asyncio.timeout(timeout):
-            _, connection = await asyncio.get_running_loop().create_connection(cls, *address)
+            _, connection = await loop.create_connection(partial(cls, most_body), *address)
         connection.address = address
         return connection
 
@@ -152,8 +165,9 @@
         heard: Callable[[Headers], None] | None = None,
     ) -> Answer:
         """Raises Unusable if it is found to be of no use before a byte is written; ConnectionBroken if no
-        whole answer comes, also when one that has begun is not whole after `stall` seconds; TimeoutError if
-        none has come by `until` (the loop's seconds), read or not. Calls `whole` once the system has the
+        whole answer comes, also when one that has begun is not whole after `stall` seconds, or is longer
+        than `most_body` (AnswerTooLong); TimeoutError if none has come by `until` (the loop's seconds), read
+        or not; one that is longer than MOST_BODY has more time. Calls `whole` once the system has the
         request's last byte, and `heard` with the headers of its answer once they are there, whatever comes of
         its rest.
         If this is cancelled, the connection must be closed."""
@@ -231,9 +245,9 @@
         else:
             self._spoilt()
 
-    def _spoilt(self) -> None:
+    def _spoilt(self, why: AnswerSpoilt | None = None) -> None:
         self.close()
-        self._break(AnswerSpoilt())
+        self._break(why or AnswerSpoilt())
 
     def _break(self, why: ConnectionBroken) -> None:
         if self.answer is not None and not self.answer.done():
@@ -282,18 +296,29 @@
                 self._response = event
                 if self.heard is not None:
                     self.heard(event.headers)
-                if int(dict(event.headers).get(b"content-length", b"0")) > MOST_BODY:
-                    raise h11.RemoteProtocolError("the answer is too long")
+                size = int(dict(event.headers).get(b"content-length", b"0"))
+                if size > self.most_body:
+                    self._spoilt(AnswerTooLong(size, self.most_body))
+                    return
+                self._give_time(size - MOST_BODY)
             elif isinstance(event, h11.Data):
                 self._body += event.data
-                if len(self._body) > MOST_BODY:
-                    raise h11.RemoteProtocolError("the answer is too long")
+                if len(self._body) > self.most_body:
+                    self._spoilt(AnswerTooLong(None, self.most_body))
+                    return
             elif isinstance(event, h11.EndOfMessage):
                 self._finish()
                 return
             else:
                 raise h11.RemoteProtocolError("the connection ended")
 
+    def _give_time(self, size: int) -> None:
+        """For the rest of a long answer."""
+        if size > 0 and self._limit is not None:
+            until = self._limit.when() + size / SLOWEST
+            self._limit.cancel()
+            self._limit = asyncio.get_running_loop().call_at(until, self._expire, LOOKS)
+
     def _finish(self) -> None:
         assert self.answer is not None and self._response is not None
         self._stop_clock()
--- a/mulleinlead/brain.py
+++ b/mulleinlead/brain.py
@@ -470,6 +470,7 @@
                 self._fold(endpoint.gate) if own else None, endpoint.failures, endpoint.avoid_until
             )
             self.dormant_of[endpoint.name] = number
+        destination.endpoints.clear()  # no cycle, so that they go at once
         self.dormant[number] = record
         self._alarm(self.now + self.cold, record)  # it may still tell a wait: calls end that were given up
 
--- a/tests/core/test_long_lists.py
+++ b/tests/core/test_long_lists.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 from functools import partial
 from pathlib import Path
 
@@ -10,8 +11,10 @@
 
 from loftrelay.app import build
 from loftrelay.core.engine import Engine
+from loftrelay.delivery.pools import Group, Server
 from loftrelay.net.address import Address
-from mulleinlead.interface import Entry, Form, Listing, State
+from mulleinlead.brain import Destination, Endpoint
+from mulleinlead.interface import Entry, Form, LetGo, Listing, State
 from tests.core.test_counts import close, config
 from tests.standins.work import Walked, steps
 
@@ -52,3 +55,31 @@
         assert 0 < costs[1] <= 1.5 * costs[0]
 
     asyncio.run(scenario())
+
+
+def test_what_is_forgotten_goes_at_once(tmp_path: Path) -> None:
+    """No cycle leads there: the collector does not look at what a long list brought."""
+
+    async def scenario() -> None:
+        engine, journal = build(config(tmp_path))
+        for name in ("a", "b"):
+            listed(engine, Form.CHANGES, *(entry(f"{name}{i}", i) for i in range(100)))
+        gc.collect()
+        gc.disable()
+        try:
+            listed(engine, Form.CHANGES, *(entry(f"a{i}", i, State.GONE) for i in range(100)))
+            assert count(Endpoint) == count(Server) == 101
+            engine.brain.handle(engine.brain.now + 1, [LetGo(tuple(range(100)))])
+            for i in range(100):
+                engine.delivery.forget(f"b{i}")
+            assert count(Endpoint) == count(Destination) == 0 and count(Server) == count(Group) == 1
+        finally:
+            gc.enable()
+        close(engine)
+        journal.close()
+
+    asyncio.run(scenario())
+
+
+def count(kind: type) -> int:
+    return sum(type(each) is kind for each in gc.get_objects())
--- /dev/null
+++ b/tests/membership/test_long_lists.py
@@ -0,0 +1,423 @@
+"""A list of any size is taken in pieces, with the loop free in between, or refused in one line."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+from collections.abc import Awaitable, Callable, Iterator, Mapping
+from itertools import pairwise
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from loftrelay.membership import discovery as module
+from loftrelay.membership.discovery import AT_ONCE, MOST_LIST, PIECE, Discovery
+from loftrelay.net import http
+from loftrelay.net.address import Address
+from loftrelay.net.http import MOST_BODY, AnswerTooLong, Connection
+from mulleinlead.interface import Entry, Form, Listing, State
+from tests.standins.platform import Request, World, deliver, never, reply, run
+
+LONG = 5 * PIECE + 7
+PHASES = {State.LISTED: "Ready", State.DRAINING: "Terminating", State.GONE: "Gone"}
+
+
+@pytest.fixture(params=["msgspec", "json"])
+def parser(request: pytest.FixtureRequest, monkeypatch: pytest.MonkeyPatch) -> Iterator[str]:
+    """With the extra `lists` and without."""
+    if request.param == "json":
+        monkeypatch.setattr(module, "msgspec", None)
+    yield request.param
+    gc.unfreeze()
+
+
+both = pytest.mark.usefixtures("parser")
+
+
+def row(number: int, state: State = State.LISTED, **changes: Any) -> dict[str, Any]:
+    return {
+        "id": f"h{number}", "host_port": f"127.0.0.1:{1 + number % 9}", "cell": number,
+        "phase": PHASES[state], "locality": "a", "flavor": "plain", "size": 1.0, "up_since_ms": 0, **changes,
+    }  # fmt: skip
+
+
+def whole(revision: int, rows: list[Any], complete: bool = True) -> bytes:
+    return json.dumps({"revision": revision, "complete": complete, "members": rows}).encode()
+
+
+class Told:
+    """Stands for the engine. Goes by what it is told, and keeps book."""
+
+    def __init__(self, w: World) -> None:
+        host, _, port = w.discovery.address.rpartition(":")
+        self.w = w
+        self.entries: dict[str, tuple[Entry, Address]] = {}
+        self.pieces: list[Listing] = []
+        self.revisions: list[int | None] = []  # of the watch, at each piece
+        self.passes: list[int] = []  # of the loop, at each piece
+        self.refused = 0
+        self.passed = 0
+        self.told = Discovery((host, int(port)), 10_000_000, self.listed, lambda: self.entries, self.refuse)
+        w.tasks.append(asyncio.create_task(self._count()))
+
+    async def _count(self) -> None:
+        while True:
+            self.passed += 1
+            await asyncio.sleep(0)
+
+    def listed(self, listing: Listing, addresses: Mapping[str, Address]) -> None:
+        if listing.form is Form.FULL:
+            self.entries.clear()
+        for entry in listing.entries:
+            if entry.state is State.GONE:
+                self.entries.pop(entry.endpoint, None)
+            else:
+                self.entries[entry.endpoint] = entry, addresses[entry.endpoint]
+        self.pieces.append(listing)
+        self.revisions.append(self.told.revision)
+        self.passes.append(self.passed)
+        self.w.bump()
+
+    def refuse(self) -> None:
+        self.refused += 1
+
+    async def until(self, revision: int) -> None:
+        """Its next watch tells that it has all of it."""
+        await self.w.until(
+            lambda: any(f"index={revision}&" in request.target for request in self.w.discovery.requests)
+        )
+
+    def forms(self) -> list[Form]:
+        return [listing.form for listing in self.pieces]
+
+
+def answers(*given: bytes | Callable[[Request], Awaitable[bytes]]) -> Any:
+    left = list(given)
+
+    async def script(request: Request) -> bytes:
+        if not left:
+            return await never(request)
+        answer = left.pop(0)
+        return reply(200, answer) if isinstance(answer, bytes) else await answer(request)
+
+    return script
+
+
+@both
+def test_a_long_list_is_told_in_pieces_with_the_loop_free_in_between(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        rows = [row(i, State.DRAINING if i % 50 == 0 else State.LISTED) for i in range(LONG)]
+        body = whole(7, rows)
+        assert len(body) > AT_ONCE
+        w.list_answer = answers(body)
+        told = Told(w)
+        told.told.watch()
+        await told.until(7)
+        assert set(told.forms()) == {Form.CHANGES} and len(told.pieces) == 6
+        assert all(len(listing.entries) <= PIECE for listing in told.pieces)
+        assert all(a < b for a, b in pairwise(told.passes))
+        assert set(told.revisions) == {None} and told.told.revision == 7
+        assert [e.endpoint for e, _ in told.entries.values()] == [r["id"] for r in rows]
+        drains = [e.state is State.DRAINING for e, _ in told.entries.values()]
+        assert drains == [i % 50 == 0 for i in range(LONG)]
+        assert told.entries["h3"][1] == ("127.0.0.1", 4)
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
+@both
+def test_no_more_than_a_piece_is_read_or_compared_at_a_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Also where nothing has changed: then nothing is told."""
+    at: list[tuple[int, int]] = []
+
+    async def scenario(w: World) -> None:
+        told = Told(w)
+        was = module.read_rows
+
+        def read_rows(rows: Any) -> Any:
+            rows = list(rows)
+            if rows:
+                at.append((told.passed, len(rows)))
+            return was(rows)
+
+        monkeypatch.setattr(module, "read_rows", read_rows)
+        rows = [row(i) for i in range(LONG)]
+        w.list_answer = answers(whole(7, rows), whole(8, rows))
+        told.told.watch()
+        await told.until(8)
+        assert len(told.pieces) == 6 and len(at) == 12
+        assert all(many <= PIECE for _, many in at)
+        assert all(a < b for (a, _), (b, _) in pairwise(at))
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
+@both
+def test_only_what_differs_is_told_and_what_is_gone_last(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        before = [row(i) for i in range(LONG)]
+        after = [
+            row(LONG), row(5, State.DRAINING), row(6, host_port="127.0.0.1:99"), row(7, size=2.0),
+            *before[8 : LONG - 3], row(LONG - 1, State.GONE), row(8, cell="no number"), 5, row(9, State.GONE),
+        ]  # fmt: skip
+        w.list_answer = answers(whole(7, before), whole(8, after))
+        told = Told(w)
+        told.told.watch()
+        await told.until(8)
+        changes = [entry for listing in told.pieces[6:] for entry in listing.entries]
+        assert set(told.forms()) == {Form.CHANGES}
+        names = [entry.endpoint for entry in changes]
+        assert names[:6] == [f"h{LONG}", "h5", "h6", "h7", f"h{LONG - 1}", "h9"]
+        assert sorted(names[6:]) == sorted([f"h{i}" for i in (0, 1, 2, 3, 4, LONG - 3, LONG - 2)])
+        assert all(entry.state is State.GONE for entry in changes[4:])
+        assert told.entries["h5"][0].state is State.DRAINING and told.entries["h7"][0].rate == 2.0
+        assert told.entries["h6"][1] == ("127.0.0.1", 99) and len(told.entries) == LONG - 8
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
+@both
+def test_long_changes_leave_alone_what_they_do_not_name(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        rows = [row(i) for i in range(LONG)]
+        changes = [*(row(i, State.DRAINING) for i in range(3, LONG)), row(3), row(4, State.GONE)]
+        w.list_answer = answers(whole(7, rows), whole(8, changes, complete=False))
+        told = Told(w)
+        told.told.watch()
+        await told.until(8)
+        assert set(told.entries) == {f"h{i}" for i in range(LONG) if i != 4}
+        listed = [name for name, (entry, _) in told.entries.items() if entry.state is State.LISTED]
+        assert listed == ["h0", "h1", "h2", "h3"]  # of one that is named twice, the last holds
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
+@both
+@pytest.mark.parametrize("way", ["paused", "moved", "cut off"])
+def test_one_that_is_left_in_the_midst_starts_anew(tmp_path: Path, way: str) -> None:
+    """The whole list: what was told of this one is a mixture, and some of it may be gone by then."""
+
+    async def scenario(w: World) -> None:
+        rows = [row(i) for i in range(LONG)]
+        started = asyncio.Event()
+        more = whole(9, [*rows, row(LONG)], complete=False)
+        w.list_answer = answers(whole(7, rows[:-1]), more, whole(10, rows))
+        told = Told(w)
+        was = told.listed
+
+        def listed(listing: Listing, addresses: Mapping[str, Address]) -> None:
+            was(listing, addresses)
+            if f"h{LONG - 1}" in addresses and not started.is_set():
+                started.set()
+                if way == "cut off":
+                    raise KeyError("a fault")
+
+        told.told.tell = listed
+        told.told.watch()
+        await started.wait()
+        assert told.told.revision is None
+        asked = len(w.discovery.requests)
+        if way == "paused":
+            told.told.pause()
+        if way == "cut off":
+            await w.until(lambda: Form.FAILED in told.forms())
+        if way == "moved":
+            told.told.move(told.told.address)
+        else:
+            told.told.watch()
+        await told.until(10)
+        assert w.discovery.requests[asked].target == "/registry/instances"
+        assert set(told.entries) == {r["id"] for r in rows} and told.told.revision == 10
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
+@both
+@pytest.mark.parametrize(
+    "bad", [b"[1]", b"[" * 40_000, b'{"revision":1,"complete":true,"members":3}', b'{"members":[]}', b"{"]
+)
+def test_a_long_list_that_can_not_be_read_is_a_failed_call(tmp_path: Path, bad: bytes) -> None:
+    async def scenario(w: World) -> None:
+        w.list_answer = answers(bad + b" " * AT_ONCE)
+        told = Told(w)
+        told.told.watch()
+        await w.until(lambda: told.forms() == [Form.FAILED])
+        assert told.told.revision is None and not told.refused
+
+    run(scenario, tmp_path)
+
+
+@both
+def test_what_is_listed_is_out_of_the_collectors_sight(tmp_path: Path) -> None:
+    """Trouble: with 50,000 hosts a collection of garbage held the loop up for 230 ms."""
+
+    async def scenario(w: World) -> None:
+        frozen = gc.get_freeze_count()
+        w.list_answer = answers(whole(7, [row(i) for i in range(20 * PIECE)]))
+        told = Told(w)
+        told.told.watch()
+        await told.until(7)
+        assert gc.get_freeze_count() - frozen > 15 * PIECE
+        seen = sum(isinstance(each, Entry) for each in gc.get_objects())
+        assert seen <= 5 * PIECE
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
+# Longer than the limit
+
+
+def head(size: int) -> bytes:
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode()
+
+
+def test_a_list_over_the_limit_is_refused_in_one_line_and_nobody_is_sent_here(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        size: int | None = MOST_LIST + 1
+        asked: list[str] = []
+
+        async def listed(request: Request) -> bytes:
+            asked.append(request.target)
+            return b"" if size is None else head(size) + b'{"rev'
+
+        def lines() -> list[str]:
+            return [line for line in w.log if "over the limit" in line]
+
+        async def ready() -> int:
+            return (await w.ask(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"))[0]
+
+        w.list_answer = listed
+        await w.start()
+        await w.until(lambda: len(asked) >= 3)
+        assert await ready() == 503
+        assert await w.hand_in("early") == 503
+        size = MOST_LIST + 2
+        await w.until(lambda: len(lines()) == 2)
+        for number, line in enumerate(lines(), 1):
+            assert f"the list of {MOST_LIST + number} bytes is over the limit of {MOST_LIST} bytes (" in line
+        assert not any("watch failed" in line for line in w.log)
+        host = await w.host(deliver)
+        size = None
+        await w.hand_in_once_listed("m", 1)
+        await w.until(lambda: host.ids == ["m"])
+        assert await ready() == 200
+        # With a list in force it stays ready, goes on by that, and says it anew.
+        size = MOST_LIST + 2
+        w.revision += 1
+        w.bump()
+        w.discovery.close_connections()
+        await w.until(lambda: len(lines()) == 3)
+        assert await ready() == 200 and await w.hand_in("n") == 202
+        await w.until(lambda: host.ids == ["m", "n"])
+
+    run(scenario, tmp_path, safety={"ask_every": 1_000_000})
+
+
+def test_with_a_known_list_it_is_ready(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        host = await w.host(deliver)
+
+        async def listed(request: Request) -> bytes:
+            return head(MOST_LIST + 1)
+
+        w.list_answer = listed
+        await w.start()
+        await w.until(lambda: any("over the limit" in line for line in w.log))
+        assert (await w.ask(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+        assert await w.hand_in("m") == 202
+        await w.until(lambda: host.ids == ["m"])
+
+    run(scenario, tmp_path)
+
+
+def test_one_that_tells_no_size_is_refused_at_the_limit(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario(w: World) -> None:
+        async def endless(request: Request) -> bytes:
+            chunks = b"400\r\n%b\r\n" % (b" " * 1024) * 20
+            return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
+
+        w.list_answer = endless
+        told = Told(w)
+        told.told.most_list = 9 << 10
+        told.told.pause()
+        for times in (1, 2):
+            told.told.watch()
+            await w.until(lambda times=times: told.forms() == [Form.FAILED] * times)  # type: ignore[misc]
+            # As after any failed call it is the module that says when to ask again.
+            assert told.told.task is not None
+            await told.told.task
+            assert len(w.discovery.requests) == told.refused == times
+        assert [r.getMessage().partition(" (")[0] for r in caplog.records if r.levelno >= logging.ERROR] == [
+            "the list of more than 9216 bytes is over the limit of 9216 bytes"
+        ]
+
+    run(scenario, tmp_path)
+
+
+# One limit for each use of a connection
+
+
+async def opened(w: World, most: int | None = None) -> Connection:
+    host, _, port = w.discovery.address.rpartition(":")
+    address = (host, int(port))
+    return await (Connection.open(address, 9) if most is None else Connection.open(address, 9, most))
+
+
+@pytest.mark.parametrize("over", [0, 1])
+def test_answers_to_messages_keep_their_limit(tmp_path: Path, over: int) -> None:
+    async def scenario(w: World) -> None:
+        w.list_answer = answers(b"x" * (MOST_BODY + over), b"x" * (MOST_BODY + over))
+        for most in (None, MOST_BODY):
+            connection = await opened(w, most)
+            if over:
+                with pytest.raises(AnswerTooLong) as raised:
+                    await connection.request("GET", "/", {"Host": "x"})
+                assert (raised.value.size, raised.value.limit) == (MOST_BODY + 1, MOST_BODY)
+            else:
+                assert len((await connection.request("GET", "/", {"Host": "x"})).body) == MOST_BODY
+            connection.close()
+
+    run(scenario, tmp_path)
+
+
+@pytest.mark.parametrize("more", [0, 9])
+def test_a_long_answer_that_is_coming_in_has_more_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, more: int
+) -> None:
+    monkeypatch.setattr(http, "SLOWEST", 0.1)  # bytes a second: 9 bytes more have 90 seconds
+
+    async def scenario(w: World) -> None:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + 0.5
+        size = MOST_BODY + more
+
+        async def slow(request: Request) -> bytes:
+            w.discovery.connections[0].transport.write(head(size))
+            while loop.time() < until + 0.2:
+                await asyncio.sleep(until + 0.2 - loop.time())
+            return b"x" * size
+
+        w.list_answer = answers(slow)
+        connection = await opened(w, 2 * MOST_BODY)
+        if more:
+            answer = await connection.request("GET", "/", {"Host": "x"}, until=until)
+            assert len(answer.body) == size and loop.time() > until
+        else:
+            with pytest.raises(TimeoutError):
+                await connection.request("GET", "/", {"Host": "x"}, until=until)
+        connection.close()
+
+    run(scenario, tmp_path)
