--- a/loftrelay/app.py
+++ b/loftrelay/app.py
@@ -46,7 +46,9 @@
     discovery: Directory
     slices: Slices | None = None
     if subscription is None:
-        discovery = Discovery(where, config.settings.ask_every, engine.listed)
+        discovery = Discovery(
+            where, config.settings.ask_every, engine.listed, lambda: engine.entries, engine.list_refused
+        )
     else:
         from loftrelay.membership.subscriber import Subscriber  # only where it is used
 
--- a/loftrelay/membership/interest.py
+++ b/loftrelay/membership/interest.py
@@ -41,6 +41,7 @@
 LEAST_REST, MOST_REST = 0.1, 2.0  # at the most before all registries are tried anew: at first, at last
 RETURN, MOST_RETURN = 30.0, 600.0  # before the first registry of the order is looked at again
 MOST_RESETS = 3  # in a row at one registry, with no watch that was answered between
+MOST_ROWS = 1_000  # in an answer: destinations with many hosts are asked for fewer at a time
 REMEMBERED = 8  # changes whose count and sum are known yet: answers to watches may be as old
 LOOKED_AT = 10  # times `stale` for which it is known how old a registry's news was
 
@@ -189,6 +190,7 @@
     seq: int = 0
     number: int = 0
     oldest_piece: int | None = None
+    most_call: int = MOST_CELLS  # destinations in a call
     gather_at: float = 0.0
     drop_at: float = 0.0
     watch_at: float = 0.0
@@ -241,15 +243,17 @@
     def want(self, now: float, number: int) -> None:
         """A message came for a destination that is not held."""
         cell = self.cells.get(number)
-        if cell is not None and cell.hosts is not None:
+        if cell is not None and cell.hosts is not None and not cell.hosts and not cell.doubted:
             self.use(now, number)
-            self.actions.append(Sliced(number, Slice.HELD if cell.hosts else Slice.EMPTY))
+            self.actions.append(Sliced(number, Slice.EMPTY))
             return
         self.wants.setdefault(number, now + self.timing.wait)
-        if cell is None:
+        if cell is None or cell.hosts:
             if not self.missing:
                 self.gather_at = now + GATHER
-            self.cells[number] = Cell()
+            if cell is None:
+                cell = self.cells[number] = Cell()
+            cell.doubted = bool(cell.hosts)  # what was told of it did not arrive: it is told anew
             self.missing[number] = None
             self.dropped.pop(number, None)
         self.uses[number] = now
@@ -388,7 +392,7 @@
             self.watch = self._call(Channel.WATCH, self.order[self.place].address, target(watch), MOST_WAIT)
 
     def _change(self) -> None:
-        room = MOST_CELLS
+        room = self.most_call
         lists = []
         for table in (self.missing, self.retold, self.dropped):
             lists.append(tuple(number for number, _ in zip(table, range(room), strict=False)))
@@ -422,6 +426,10 @@
             self.returns += 1
             self._return_later(now)
         elif self._is_out(number):
+            if self.asked is not None and number == self.asked.number:
+                change = self.asked.change  # its answer may have been too long
+                asked = len(change.add) + len(change.have)
+                self.most_call = max(1, min(self.most_call, asked) // 2) if asked else self.most_call
             self._fail(now, why)
 
     def refused(self, now: float, number: int, status: int, text: str) -> None:
@@ -492,6 +500,7 @@
             self.counts["overtaken"] += 1
             self.missing |= {number: None for number in change.add if number in self.cells}
         else:
+            self._fit_calls(change, len(rows))
             for number in change.have:
                 if number in self.cells:
                     self.cells[number].at = max(self.cells[number].at, answer.revision)
@@ -502,6 +511,13 @@
         self._go_on(now)
         self._look_at_age(now, answer)
 
+    def _fit_calls(self, change: Change, rows: int) -> None:
+        if rows > MOST_ROWS:
+            asked = len(change.add) + len(change.have)
+            self.most_call = max(1, min(self.most_call, asked * MOST_ROWS // rows))
+        elif rows <= MOST_ROWS // 2:
+            self.most_call = min(MOST_CELLS, 2 * self.most_call)
+
     def _watched(self, now: float, answer: Answer, rows: Sequence[Row]) -> None:
         whole = set(answer.cells)
         gone: list[Row] = []
--- a/tests/membership/registries.py
+++ b/tests/membership/registries.py
@@ -68,6 +68,7 @@
         self.dead = False  # connections are refused
         self.unread: list[tuple[str, Callable[[Answer | int], None]]] = []
         self.calls: list[str] = []
+        self.most_rows = 1 << 30  # of an answer to a change; a longer one is cut off
 
     def hear(self, now: float, told: List) -> None:
         if self.up:
@@ -116,7 +117,10 @@
         self.sets[call.subscriber] = cells, call.seq
         changed = {row[0].destination for row, at in self.list.rows.values() if at > call.index}
         whole = [*call.add, *(cell for cell in call.have if cell in changed or not call.index)]
-        return self._answer(now, call.subscriber, whole, [r for c in whole for r in self.list.of(c).values()])
+        wanted = set(whole)
+        rows = [row for row, _ in self.list.rows.values() if row[0].destination in wanted]
+        rows = [row for row in rows if row[0].state is not State.GONE]
+        return self._answer(now, call.subscriber, whole, rows) if len(rows) <= self.most_rows else BROKEN
 
     def _watch(self, now: float, watch: Watch, done: Callable[[Answer | int], None]) -> None:
         assert self.list is not None
--- a/tests/membership/test_interest.py
+++ b/tests/membership/test_interest.py
@@ -209,6 +209,36 @@
     assert pieces[0].add[0] == 9999 and sum(len(piece.add) for piece in pieces) >= 2501
 
 
+@pytest.mark.parametrize("too_long", [True, False])
+def test_destinations_of_many_hosts_are_asked_for_fewer_at_a_time(too_long: bool) -> None:
+    told, registries, relay = make(number=1, cells=0, wait=60.0)
+    for host in range(2_000):
+        told.set(f"h{host}", 1 + host % 100, State.LISTED)
+    registries[0].hear(relay.now, told)
+    registries[0].most_rows = 1_200 if too_long else 1 << 30  # a longer answer breaks off
+    relay.want(*range(1, 81))
+    relay.run(5.0)
+    relay.want(*range(81, 101))
+    relay.want(*range(101, 401))  # with no host
+    relay.run(5.0)
+    assert relay.holds(told) and len(relay.hosts) == 100
+    sizes = [len(call.add) for call in changes(relay) if call.add]
+    assert sizes[0] == 80 and sizes[1] == (40 if too_long else 50)
+    asked = [call for call in changes(relay) if len(call.add) > 50]
+    assert sum(sizes) >= 400 and len(sizes) <= 12 and len(asked) <= 4
+
+
+def test_one_that_the_engine_does_not_have_is_told_anew() -> None:
+    told, _, relay = make()
+    relay.want(1)
+    relay.run(0.1)
+    relay.hosts.clear()  # lost, by a fault
+    relay.want(1)
+    relay.run(0.1)
+    assert relay.holds(told) and list(relay.hosts[1]) == ["h1"]
+    assert relay.sliced[-1][:2] == (1, Slice.HELD) and len(relay.sliced) == 2
+
+
 # Which registry
 
 
