Destinations with many hosts are asked for fewer at a time, and one that is too long alone

Cause: 1,000 destinations in a call may have more hosts than an answer may hold; the call would fail at every registry in turn, for all destinations, and the loop would stand still over an answer that is just short enough.

--- a/loftrelay/membership/interest.py
+++ b/loftrelay/membership/interest.py
@@ -42,6 +42,7 @@
 RETURN, MOST_RETURN = 30.0, 600.0  # before the first registry of the order is looked at again
 MOST_RESETS = 3  # in a row at one registry, with no watch that was answered between
 MOST_ROWS = 1_000  # in an answer: destinations with many hosts are asked for fewer at a time
+BARRED = 60.0  # seconds for which one whose hosts alone make too long an answer is not asked for
 REMEMBERED = 8  # changes whose count and sum are known yet: answers to watches may be as old
 LOOKED_AT = 10  # times `stale` for which it is known how old a registry's news was
 
@@ -191,6 +192,7 @@
     number: int = 0
     oldest_piece: int | None = None
     most_call: int = MOST_CELLS  # destinations in a call
+    barred: dict[int, float] = field(default_factory=dict)  # until when
     gather_at: float = 0.0
     drop_at: float = 0.0
     watch_at: float = 0.0
@@ -247,6 +249,9 @@
             self.use(now, number)
             self.actions.append(Sliced(number, Slice.EMPTY))
             return
+        if self.barred.get(number, 0.0) > now:
+            self.actions.append(Sliced(number, Slice.AWAY))
+            return
         self.wants.setdefault(number, now + self.timing.wait)
         if cell is None or cell.hosts:
             if not self.missing:
@@ -361,6 +366,8 @@
         self.sum = 0
         self.missing = dict.fromkeys(self.wants)  # first messages go before all else
         for number, cell in self.cells.items():
+            if self.barred.get(number, 0.0) > now:
+                continue
             if cell.hosts is None or cell.doubted or max(cell.at, self.index) == 0:
                 cell.doubted = cell.hosts is not None
                 self.missing[number] = None
@@ -419,19 +426,32 @@
 
     # What becomes of them
 
-    def failed(self, now: float, number: int, why: str) -> None:
-        """The call was not answered, or with what can't be read."""
+    def failed(self, now: float, number: int, why: str, too_long: bool = False) -> None:
+        """The call was not answered, or with what can't be read; or its answer was `too_long`."""
         if number == self.look:
             self.look = None
             self.returns += 1
             self._return_later(now)
         elif self._is_out(number):
             if self.asked is not None and number == self.asked.number:
-                change = self.asked.change  # its answer may have been too long
-                asked = len(change.add) + len(change.have)
-                self.most_call = max(1, min(self.most_call, asked) // 2) if asked else self.most_call
+                cells = (*self.asked.change.add, *self.asked.change.have)
+                if too_long and len(cells) == 1:
+                    self._bar(now, cells[0])
+                if cells:  # its answer may have been too long
+                    self.most_call = max(1, min(self.most_call, len(cells)) // 2)
             self._fail(now, why)
 
+    def _bar(self, now: float, number: int) -> None:
+        """It must not keep the others from being told. What is known of it stays in force."""
+        self.actions.append(Say(f"the hosts of destination {number} do not fit into an answer"))
+        self.barred = {cell: until for cell, until in self.barred.items() if until > now}
+        self.barred[number] = now + BARRED
+        cell = self.cells.get(number)
+        if cell is not None and cell.hosts is None:
+            del self.cells[number], self.uses[number]
+        if self.wants.pop(number, None) is not None:
+            self.actions.append(Sliced(number, Slice.AWAY))
+
     def refused(self, now: float, number: int, status: int, text: str) -> None:
         """Answered with another status than 200; `text` says why."""
         if not self._is_out(number):
--- a/loftrelay/membership/subscriber.py
+++ b/loftrelay/membership/subscriber.py
@@ -12,7 +12,7 @@
 
 from loftrelay.core.ports import Slice
 from loftrelay.membership.caller import Caller
-from loftrelay.membership.discovery import CONNECT, PATIENCE, read_list
+from loftrelay.membership.discovery import CONNECT, MOST_PARSED, PATIENCE, read_list
 from loftrelay.membership.interest import (
     Action,
     Call,
@@ -27,7 +27,7 @@
 )
 from loftrelay.membership.settings import SubscriptionSettings
 from loftrelay.net.address import Address
-from loftrelay.net.http import Answer, ConnectionBroken
+from loftrelay.net.http import Answer, AnswerTooLong, ConnectionBroken
 from loftrelay.registry.protocol import read_answer
 from mulleinlead.interface import Form, Listing
 
@@ -187,7 +187,7 @@
         if caller is None or caller.address != call.registry:
             if caller is not None:
                 caller.close()
-            caller = self.callers[call.channel] = Caller(call.registry)
+            caller = self.callers[call.channel] = Caller(call.registry, MOST_PARSED)
         self.counts["bytes_out"] += len(call.target) + HEAD
         try:
             answer = await caller.ask("GET", call.target, call.wait + PATIENCE, connect=CONNECT)
@@ -201,6 +201,9 @@
                 rows = read_list(row)[2]
                 self.interest.heard(self._now(), call.number, told, rows)
             self._do()
+        except AnswerTooLong as error:
+            why = f"answers over {error.limit} bytes, which are not taken"
+            self.interest.failed(self._now(), call.number, why, too_long=True)
         except (OSError, ConnectionBroken) as error:
             self.interest.failed(self._now(), call.number, f"does not answer: {error!r}")
         except (ValueError, RecursionError) as error:
--- a/tests/membership/registries.py
+++ b/tests/membership/registries.py
@@ -29,7 +29,7 @@
 PATIENCE = 2.2  # seconds for an answer beyond a call's own wait
 FLEET = "windwacht"
 TIMING = Timing()
-BROKEN = 0  # in place of a status: the connection ended
+BROKEN, TOO_LONG = 0, -1  # in place of a status: the connection ended; the answer was not taken
 
 
 @dataclass
@@ -120,7 +120,7 @@
         wanted = set(whole)
         rows = [row for row, _ in self.list.rows.values() if row[0].destination in wanted]
         rows = [row for row in rows if row[0].state is not State.GONE]
-        return self._answer(now, call.subscriber, whole, rows) if len(rows) <= self.most_rows else BROKEN
+        return self._answer(now, call.subscriber, whole, rows) if len(rows) <= self.most_rows else TOO_LONG
 
     def _watch(self, now: float, watch: Watch, done: Callable[[Answer | int], None]) -> None:
         assert self.list is not None
@@ -254,8 +254,8 @@
         def hear(told: Answer | int) -> None:
             nonlocal over
             over = True  # a doubled one still comes: the interest has to know
-            if told == BROKEN:
-                interest.failed(self.now, call.number, "broken")
+            if told in (BROKEN, TOO_LONG):
+                interest.failed(self.now, call.number, "broken", too_long=told == TOO_LONG)
             elif isinstance(told, int):
                 interest.refused(self.now, call.number, told, "no")
             else:
--- a/tests/membership/test_interest.py
+++ b/tests/membership/test_interest.py
@@ -228,6 +228,43 @@
     assert sum(sizes) >= 400 and len(sizes) <= 12 and len(asked) <= 4
 
 
+def test_one_whose_hosts_alone_are_too_many_keeps_no_other_from_being_told() -> None:
+    told, registries, relay = make(number=2, cells=10, wait=1.0)
+    for host in range(100, 140):
+        told.set(f"h{host}", 99, State.LISTED)
+    for registry in registries:
+        registry.most_rows = 20
+    tell(relay, told)
+    relay.want(*range(1, 11))
+    relay.run(0.1)
+    relay.want(99)
+    relay.run(5.0)
+    assert relay.sliced[-1][:2] == (99, Slice.AWAY) and 99 not in relay.hosts and len(relay.hosts) == 10
+    told.set("h1", 1, State.DRAINING)
+    tell(relay, told)
+    relay.run(0.1)
+    assert relay.holds(told) and relay.interest.mode is Mode.WATCHING
+    moved, calls = relay.interest.counts["moved"], len(changes(relay))
+    relay.want(99)
+    relay.run(0.1)
+    assert relay.sliced[-1][:2] == (99, Slice.AWAY)
+    assert (relay.interest.counts["moved"], len(changes(relay))) == (moved, calls)
+    assert [line for line in relay.lines if "do not fit" in line] == [
+        "the hosts of destination 99 do not fit into an answer"
+    ]
+    # One that is held and grows: what is known of it stands, and the others are told on.
+    for host in range(200, 240):
+        told.set(f"h{host}", 1, State.LISTED)
+    for registry in registries:
+        registry.start_anew()  # so that no watch tells of them
+    tell(relay, told)
+    relay.run(5.0)
+    told.set("h2", 2, State.DRAINING)
+    tell(relay, told)
+    relay.run(0.2)
+    assert relay.hosts[2]["h2"][0].state is State.DRAINING and list(relay.hosts[1]) == ["h1"]
+
+
 def test_one_that_the_engine_does_not_have_is_told_anew() -> None:
     told, _, relay = make()
     relay.want(1)
