--- a/loftrelay/membership/interest.py
+++ b/loftrelay/membership/interest.py
@@ -41,6 +41,8 @@
 LEAST_REST, MOST_REST = 0.1, 2.0  # at the most before all registries are tried anew: at first, at last
 RETURN, MOST_RETURN = 30.0, 600.0  # before the first registry of the order is looked at again
 MOST_RESETS = 3  # in a row at one registry, with no watch that was answered between
+MOST_ROWS = 1_000  # in an answer: destinations with many hosts are asked for fewer at a time
+BARRED = 60.0  # seconds for which one whose hosts alone make too long an answer is not asked for
 REMEMBERED = 8  # changes whose count and sum are known yet: answers to watches may be as old
 MOST_ROUND = 8  # times `stale` at the most between two rounds of looks for fresher news
 FRESHER = 1.0  # seconds by which another registry's news has to be, for a move
@@ -189,6 +191,8 @@
     seq: int = 0
     number: int = 0
     oldest_piece: int | None = None
+    most_call: int = MOST_CELLS  # destinations in a call
+    barred: dict[int, float] = field(default_factory=dict)  # until when
     gather_at: float = 0.0
     drop_at: float = 0.0
     watch_at: float = 0.0
@@ -244,15 +248,20 @@
     def want(self, now: float, number: int) -> None:
         """A message came for a destination that is not held."""
         cell = self.cells.get(number)
-        if cell is not None and cell.hosts is not None:
+        if cell is not None and cell.hosts is not None and not cell.hosts and not cell.doubted:
             self.use(now, number)
-            self.actions.append(Sliced(number, Slice.HELD if cell.hosts else Slice.EMPTY))
+            self.actions.append(Sliced(number, Slice.EMPTY))
+            return
+        if self.barred.get(number, 0.0) > now:
+            self.actions.append(Sliced(number, Slice.AWAY))
             return
         self.wants.setdefault(number, now + self.timing.wait)
-        if cell is None:
+        if cell is None or cell.hosts:
             if not self.missing:
                 self.gather_at = now + GATHER
-            self.cells[number] = Cell()
+            if cell is None:
+                cell = self.cells[number] = Cell()
+            cell.doubted = bool(cell.hosts)  # what was told of it did not arrive: it is told anew
             self.missing[number] = None
             self.dropped.pop(number, None)
         self.uses[number] = now
@@ -359,6 +368,8 @@
         self.sum = 0
         self.missing = dict.fromkeys(self.wants)  # first messages go before all else
         for number, cell in self.cells.items():
+            if self.barred.get(number, 0.0) > now:
+                continue
             if cell.hosts is None or cell.doubted or max(cell.at, self.index) == 0:
                 cell.doubted = cell.hosts is not None
                 self.missing[number] = None
@@ -390,7 +401,7 @@
             self.watch = self._call(Channel.WATCH, self.order[self.place].address, target(watch), MOST_WAIT)
 
     def _change(self) -> None:
-        room = MOST_CELLS
+        room = self.most_call
         lists = []
         for table in (self.missing, self.retold, self.dropped):
             lists.append(tuple(number for number, _ in zip(table, range(room), strict=False)))
@@ -417,8 +428,8 @@
 
     # What becomes of them
 
-    def failed(self, now: float, number: int, why: str) -> None:
-        """The call was not answered, or with what can't be read."""
+    def failed(self, now: float, number: int, why: str, too_long: bool = False) -> None:
+        """The call was not answered, or with what can't be read; or its answer was `too_long`."""
         if number == self.look:
             self.look = None
             if self.return_at == math.inf and self.place and self.look_place == 0:
@@ -426,8 +437,25 @@
                 self._return_later(now)
             self._look_on()
         elif self._is_out(number):
+            if self.asked is not None and number == self.asked.number:
+                cells = (*self.asked.change.add, *self.asked.change.have)
+                if too_long and len(cells) == 1:
+                    self._bar(now, cells[0])
+                if cells:  # its answer may have been too long
+                    self.most_call = max(1, min(self.most_call, len(cells)) // 2)
             self._fail(now, why)
 
+    def _bar(self, now: float, number: int) -> None:
+        """It must not keep the others from being told. What is known of it stays in force."""
+        self.actions.append(Say(f"the hosts of destination {number} do not fit into an answer"))
+        self.barred = {cell: until for cell, until in self.barred.items() if until > now}
+        self.barred[number] = now + BARRED
+        cell = self.cells.get(number)
+        if cell is not None and cell.hosts is None:
+            del self.cells[number], self.uses[number]
+        if self.wants.pop(number, None) is not None:
+            self.actions.append(Sliced(number, Slice.AWAY))
+
     def refused(self, now: float, number: int, status: int, text: str) -> None:
         """Answered with another status than 200; `text` says why."""
         if not self._is_out(number):
@@ -499,6 +527,7 @@
             self.counts["overtaken"] += 1
             self.missing |= {number: None for number in change.add if number in self.cells}
         else:
+            self._fit_calls(change, len(rows))
             for number in change.have:
                 if number in self.cells:
                     self.cells[number].at = max(self.cells[number].at, answer.revision)
@@ -509,6 +538,13 @@
         self._go_on(now)
         self._look_at_age(now, answer)
 
+    def _fit_calls(self, change: Change, rows: int) -> None:
+        if rows > MOST_ROWS:
+            asked = len(change.add) + len(change.have)
+            self.most_call = max(1, min(self.most_call, asked * MOST_ROWS // rows))
+        elif rows <= MOST_ROWS // 2:
+            self.most_call = min(MOST_CELLS, 2 * self.most_call)
+
     def _watched(self, now: float, answer: Answer, rows: Sequence[Row]) -> None:
         whole = set(answer.cells)
         gone: list[Row] = []
--- a/tests/membership/registries.py
+++ b/tests/membership/registries.py
@@ -29,7 +29,7 @@
 PATIENCE = 2.2  # seconds for an answer beyond a call's own wait
 FLEET = "windwacht"
 TIMING = Timing()
-BROKEN = 0  # in place of a status: the connection ended
+BROKEN, TOO_LONG = 0, -1  # in place of a status: the connection ended; the answer was not taken
 
 
 @dataclass
@@ -68,6 +68,7 @@
         self.dead = False  # connections are refused
         self.unread: list[tuple[str, Callable[[Answer | int], None]]] = []
         self.calls: list[str] = []
+        self.most_rows = 1 << 30  # of an answer to a change; a longer one is cut off
 
     def hear(self, now: float, told: List) -> None:
         if self.up:
@@ -116,7 +117,10 @@
         self.sets[call.subscriber] = cells, call.seq
         changed = {row[0].destination for row, at in self.list.rows.values() if at > call.index}
         whole = [*call.add, *(cell for cell in call.have if cell in changed or not call.index)]
-        return self._answer(now, call.subscriber, whole, [r for c in whole for r in self.list.of(c).values()])
+        wanted = set(whole)
+        rows = [row for row, _ in self.list.rows.values() if row[0].destination in wanted]
+        rows = [row for row in rows if row[0].state is not State.GONE]
+        return self._answer(now, call.subscriber, whole, rows) if len(rows) <= self.most_rows else TOO_LONG
 
     def _watch(self, now: float, watch: Watch, done: Callable[[Answer | int], None]) -> None:
         assert self.list is not None
@@ -250,8 +254,8 @@
         def hear(told: Answer | int) -> None:
             nonlocal over
             over = True  # a doubled one still comes: the interest has to know
-            if told == BROKEN:
-                interest.failed(self.now, call.number, "broken")
+            if told in (BROKEN, TOO_LONG):
+                interest.failed(self.now, call.number, "broken", too_long=told == TOO_LONG)
             elif isinstance(told, int):
                 interest.refused(self.now, call.number, told, "no")
             else:
