Registry: calls to discovery that failed leave nothing that is never collected

gc.freeze came after each first call, also after one that failed: what such calls leave in cycles would have stayed for ever, in a registry that waits for discovery. It comes once now, when the first list is in force; a test counts it.

--- a/loftrelay/registry/upstream.py
+++ b/loftrelay/registry/upstream.py
@@ -120,7 +120,6 @@
                 staged, reader = await self._call(target, wait + PATIENCE)
         finally:
             if first:
-                gc.freeze()  # and looks at these no more
                 gc.enable()
         revision, complete = reader.end()
         self.heard_at = asyncio.get_running_loop().time()
@@ -208,5 +207,6 @@
                 changed = True
                 self.touch(cell, number)
             if first:
+                gc.freeze()  # the collector looks at these rows no more
                 log.info("the list of discovery: %d hosts, revision %d", catalog.hosts, revision)
             self.settled(changed or first, anew)
--- a/tests/registry/test_upstream.py
+++ b/tests/registry/test_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 from collections.abc import Awaitable, Callable
 
@@ -93,6 +94,25 @@
     asyncio.run(scenario())
 
 
+def test_the_collector_leaves_the_list_alone_and_nothing_of_calls_that_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What is frozen is never collected: it must not grow while a registry waits for discovery for days."""
+    frozen: list[int] = []
+
+    async def scenario() -> None:
+        w, asked = await scripted(b"", b"nonsense", HEAD % (len(GOOD), GOOD))()
+        monkeypatch.setattr(gc, "freeze", lambda: frozen.append(len(asked)))
+        w.upstream.start()
+        try:
+            await w.until(lambda: w.catalog.known)
+            assert frozen == [3] and gc.isenabled()
+        finally:
+            w.upstream.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_watch_cut_off_in_its_midst_changes_nothing() -> None:
     async def scenario() -> None:
         changes = json.dumps(
