--- a/tests/registry/test_upstream.py
+++ b/tests/registry/test_upstream.py
@@ -131,6 +131,24 @@
     asyncio.run(scenario())
 
 
+def test_a_watch_that_ends_with_nothing_new_is_news_of_discovery() -> None:
+    async def scenario() -> None:
+        answers = [HEAD % (len(body), body) for body in (GOOD, EMPTY)]
+        w, asked = await scripted(*answers)()
+        w.upstream.start()
+        try:
+            await w.until(lambda: len(w.settled) == 1)
+            first = w.upstream.heard_at
+            await w.until(lambda: len(w.settled) == 2)
+            assert w.settled[1] == (False, False) and w.touched == []
+            assert first is not None and w.upstream.heard_at is not None and w.upstream.heard_at > first
+            assert w.upstream.age < HANG and asked[1].startswith(b"/registry/instances?index=7&wait=")
+        finally:
+            w.upstream.close()
+
+    asyncio.run(scenario())
+
+
 def test_changes_of_a_new_count_have_the_whole_list_asked_for() -> None:
     async def scenario() -> None:
         changes = b'{"revision":2,"complete":false,"members":[]}'
