--- a/benchmarks/scale/slopes.py
+++ b/benchmarks/scale/slopes.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from benchmarks.fits import Fit, fit, prediction_error
+from benchmarks.fits import Fit, Kind, fit, prediction_error
 
 
 @dataclass
@@ -15,12 +15,13 @@
     name: str
     per: str
     target: float
+    kind: Kind = Kind.LINEAR
     points: list[tuple[float, float]] = field(default_factory=list)
     predicted: float | None = None
 
     def predict(self, size: float) -> float:
         """From the points so far; kept beside what is measured then."""
-        self.predicted = fit(self.points).predict(size)
+        self.predicted = fit(self.points, self.kind).predict(size)
         return self.predicted
 
     @property
@@ -30,7 +31,7 @@
 
     @property
     def line(self) -> Fit:
-        return fit(self.points)
+        return fit(self.points, self.kind)
 
     def at_target(self) -> float:
         return self.line.predict(self.target)
@@ -38,6 +39,7 @@
     def figures(self) -> dict[str, Any]:
         told = {
             "per": self.per,
+            "kind": self.kind,
             "sizes": [int(size) for size, _ in self.points],
             "measured": [short(value) for _, value in self.points],
             "predicted": None if self.predicted is None else short(self.predicted),
@@ -62,8 +64,10 @@
 class Slopes:
     all: dict[str, Slope] = field(default_factory=dict)
 
-    def add(self, name: str, per: str, target: float, size: float, value: float) -> None:
-        slope = self.all.setdefault(name, Slope(name, per, target))
+    def add(
+        self, name: str, per: str, target: float, size: float, value: float, kind: Kind = Kind.LINEAR
+    ) -> None:
+        slope = self.all.setdefault(name, Slope(name, per, target, kind))
         slope.points.append((size, value))
 
     def predict(self, per: str, size: float) -> dict[str, float]:
--- a/tests/benchmarks/test_scale.py
+++ b/tests/benchmarks/test_scale.py
@@ -11,10 +11,21 @@
 import psutil
 import pytest
 
-from benchmarks.scale.accounts import InForce, Limit, apart, merge, moved, over_budget, slice_of
+from benchmarks.scale.accounts import (
+    LIMITS,
+    InForce,
+    Limit,
+    apart,
+    figure,
+    merge,
+    moved,
+    over_budget,
+    slice_of,
+)
 from benchmarks.scale.discovery import Book, Discovery
-from benchmarks.scale.fleet import Fleet, TooMuch, guard
+from benchmarks.scale.fleet import Fleet, TooMuch, guard, guarded
 from benchmarks.scale.links import CountingLoop, Forwarder, Links, whose
+from benchmarks.scale.run import Plan, measure
 from benchmarks.scale.slopes import Slopes
 from tests.standins.platform import HANG
 
@@ -223,6 +234,25 @@
     assert not [pid for pid in children if psutil.pid_exists(pid)]
 
 
+def test_the_line_has_all_that_it_is_to_have(tmp_path: Path) -> None:
+    small = Plan(
+        destinations=(100, 200, 400), slices=(10, 20, 40), relays=(4, 8, 16), members=(),
+        registries=1, real=1, each=8, changes=1, steady=2.2, settle=0.0, spans=None, together=True,
+    )  # fmt: skip
+    line = asyncio.run(guarded(measure(small, None)))
+    assert (line["relays"], line["destinations"]) == (16, 400)
+    for limit in LIMITS:
+        assert figure(line, limit.at) is not None, limit
+    assert line["over_budget"] == over_budget(line)
+    assert not [name for name in line["over_budget"] if name.endswith("?")]
+    told = {name: slope for name, slope in line["slopes"].items() if slope["error"] is not None}
+    assert line["prediction_error"] == max(slope["error"] for slope in told.values())
+    assert set(told) == set(line["slopes"])
+    assert line["in_force_s"]["counted"] == 2 * 16  # one change as they came to be 16, one undisturbed
+    assert "missing" not in line["in_force_s"]
+    json.dumps(line, allow_nan=False)
+
+
 def test_children_end_where_a_run_fails(tmp_path: Path) -> None:
     children: list[int] = []
 
