--- a/tests/program/test_slices.py
+++ b/tests/program/test_slices.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from loftrelay.record.rules import Answer, State
+from tests.program.test_record import until, with_store
 from tests.standins.platform import HANG, Peer, Request, World, deliver, failed, message, reply, run
 from tests.standins.registries import Registries
 
@@ -386,6 +388,29 @@
     play(scenario, tmp_path)
 
 
+def test_beside_a_store_of_record_what_was_held_goes_on_after_a_restart(tmp_path: Path) -> None:
+    async def scenario(w: World, registries: Registries) -> None:
+        async def not_now(request: Request) -> bytes:
+            return reply(503)
+
+        subscription = w.arguments
+        path = with_store(w)
+        w.arguments = [*subscription, *w.arguments]
+        host = await w.host(not_now)
+        await w.start()
+        await w.hand_in_once_listed("m0", 1)
+        for number in (1, 2):
+            assert await w.hand_in(f"m{number}", "order") == 202
+        await w.restart()
+        host.script = deliver
+        found = await until(path, ["m0", "m1", "m2"], State.TOLD)
+        assert {found[name].answer for name in ("m0", "m1", "m2")} == {Answer.DELIVERED}
+        orders = [name for name in dict.fromkeys(reversed(host.ids)) if name != "m0"]
+        assert orders == ["m2", "m1"] and not w.notices
+
+    play(scenario, tmp_path)
+
+
 def test_a_reload_that_moves_discovery_moves_notices_alone(tmp_path: Path) -> None:
     async def scenario(w: World, registries: Registries) -> None:
         async def no(request: Request) -> bytes:
