--- a/loftrelay/registry/upstream.py
+++ b/loftrelay/registry/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import random
 from collections.abc import Callable
@@ -111,8 +112,15 @@
         if not self._whole:
             wait = MOST_WAIT if self._held else 0.0
             target += f"?index={self.catalog.revision}&wait={int(wait * 1000)}"
-        async with asyncio.timeout(CONNECT + wait + MOST_TIME):
-            staged, reader = await self._call(target, wait + PATIENCE)
+        first = not self.catalog.known
+        if first:
+            gc.disable()  # it looks at every row again and again: the loop would stand still for 100 ms
+        try:
+            async with asyncio.timeout(CONNECT + wait + MOST_TIME):
+                staged, reader = await self._call(target, wait + PATIENCE)
+        finally:
+            if first:
+                gc.enable()
         revision, complete = reader.end()
         self.heard_at = asyncio.get_running_loop().time()
         if not complete and (staged.first or revision < self.catalog.revision):
@@ -199,5 +207,6 @@
                 changed = True
                 self.touch(cell, number)
             if first:
+                gc.freeze()  # the collector looks at these rows no more
                 log.info("the list of discovery: %d hosts, revision %d", catalog.hosts, revision)
             self.settled(changed or first, anew)
