--- a/benchmarks/scale/faults.py
+++ b/benchmarks/scale/faults.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from benchmarks.scale.accounts import EVENTS, REGIONS, RELAYS, ZONES, InForce
+from benchmarks.scale.children import ChildError
 from benchmarks.scale.fleet import Fleet, Registry, Use
 
 PACE = EVENTS / RELAYS  # first messages that a relay hears a second, as it has started
@@ -58,7 +59,12 @@
     async def one(self, name: str, fault: Callable[[], Awaitable[dict[str, Any]]]) -> None:
         before, uses = await self.fleet.hollow.counts(), {r.number: r.use for r in self.fleet.registries}
         programs = {r.number: r.program for r in self.fleet.registries}
-        told = await fault()
+        try:
+            told = await fault()
+        except ChildError as error:
+            self.told[name] = {"failed": str(error)}
+            self.say(f"{name} failed: {error}")
+            return
         after = await self.fleet.hollow.counts()
         cpu, bytes_ = after.use.rate(before.use)
         relays = len(self.everyone)
