--- a/tests/membership/test_interest.py
+++ b/tests/membership/test_interest.py
@@ -412,6 +412,27 @@
     assert max(Counter(int(back) for back in backs).values()) <= 8
 
 
+def test_a_region_that_starts_at_once_with_a_registry_dead_spreads_over_the_others() -> None:
+    told = List()
+    for cell in range(1, 11):
+        told.set(f"h{cell}", cell, State.LISTED)
+    registries = [Registry(place) for place in PLACES]
+    for registry in registries:
+        registry.hear(0.0, told)
+    registries[0].dead = True
+    relays = [Relay(registries, seed=number, name=f"relay-{number}") for number in range(480)]
+    for relay in relays:
+        relay.interest.start(0.0)
+        relay.want(*range(1, 11))
+    for relay in relays:
+        relay.run(0.2)
+    assert all(relay.interest.mode is Mode.WATCHING and relay.holds(told) for relay in relays)
+    assert all({s[1] for s in relay.sliced} == {Slice.HELD} for relay in relays)
+    assert max(len(relay.calls) for relay in relays) <= 4  # one failed, a change or two, the watch
+    shares = [len(registry.sets) for registry in registries]
+    assert shares[0] == 0 and min(shares[1:]) > 180 and sum(shares) == 480
+
+
 def test_with_all_away_tries_grow_rarer_up_to_a_bound() -> None:
     _, registries, relay = make(number=2)
     for registry in registries:
