--- a/benchmarks/scale/run.py
+++ b/benchmarks/scale/run.py
@@ -209,9 +209,11 @@
     for sizes in (smaller, [largest] if smaller else []):
         if sizes == [largest]:
             say(f"predicted at {largest} members: {slopes.predict('members', largest)}")
-        alone = asyncio.gather(*(one_member(size) for size in sizes))
-        told = [await datagrams(plan, folder, size) for size in sizes]
-        for size, (bytes_, known), (cpu, mb) in zip(sizes, told, await alone, strict=True):
+        async with asyncio.TaskGroup() as group:
+            alone = [group.create_task(one_member(size)) for size in sizes]
+            told = [await datagrams(plan, folder, size) for size in sizes]
+        for size, (bytes_, known), task in zip(sizes, told, alone, strict=True):
+            cpu, mb = task.result()
             slopes.add("member_bytes_per_s", "members", RELAYS, size, bytes_, Kind.LOG_N)
             slopes.add("member_cpu", "members", RELAYS, size, cpu)
             slopes.add("member_mb", "members", RELAYS, size, mb)
