--- a/tests/registry/test_server.py
+++ b/tests/registry/test_server.py
@@ -236,6 +236,24 @@
     run(scenario)
 
 
+def test_a_second_call_beside_a_watch_that_waits_ends_both(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with served(tmp_path) as (discovery, registry):
+            line = await subscribe(registry, "a.1", 3)
+            line.send(target(Watch("f", "a.1", 5, WAIT)))
+            await registry.until(lambda figures: figures["watches"] == 1)
+            line.send("/health/ready")
+            status, headers, body = await line.read()
+            assert (status, headers["connection"]) == (400, "close") and b"one call at a time" in body
+            assert await line.ended() == b""
+            assert (await registry.figures())["watches"] == 0
+            discovery.change(row("h3", 3, "Terminating"))
+            figures = await registry.until(lambda figures: figures["revision"] == 6)
+            assert figures["woken"] == 0
+
+    run(scenario)
+
+
 def test_at_its_end_every_watch_is_answered(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with served(tmp_path) as (_, registry):
