A row of a long list that can't be parsed is passed over; a list without news ends a failure

Where rows are cut first, one that can't be parsed is found in the midst: all of the list failed then, again and again, as a mixture. A long list with no news told the module nothing, so that it went on counting failures. Without a view of what is in force a whole long list left hosts that it does not name.

Change: such a row is passed over with one line, as one that can't be read is; a long list with no news ends with an empty change; without `in_force` every list is taken at one go.

--- a/loftrelay/membership/discovery.py
+++ b/loftrelay/membership/discovery.py
@@ -58,11 +58,12 @@
     return sys.intern(value) if isinstance(value, str) else value
 
 
-def read_rows(rows: Iterable[Any]) -> list[tuple[Entry, Address]]:
-    """One that can't be read is passed over."""
+def read_rows(rows: Iterable[Any], decode: Callable[[Any], Any] | None = None) -> list[tuple[Entry, Address]]:
+    """One that can't be read is passed over. `decode`: parses it first."""
     entries = []
     for row in rows:
         try:
+            row = decode(row) if decode is not None else row
             size, identity, cell = row.get("size"), row["id"], row["cell"]
             if not isinstance(identity, str) or not isinstance(cell, int):
                 raise ValueError(f"id = {identity!r}, cell = {cell!r}: one is of the wrong type")
@@ -87,6 +88,13 @@
 
     CUT = msgspec.json.Decoder(Cut)
 
+    def _parse(row: Any) -> Any:
+        """Raises ValueError."""
+        try:
+            return msgspec.json.decode(row)
+        except (ValueError, RecursionError) as error:
+            raise ValueError(f"{error} in {bytes(row)[:300]!r}") from None
+
 
 @dataclass(frozen=True, slots=True)
 class Long:
@@ -97,10 +105,7 @@
     rows: Sequence[Any]
 
     def piece(self, first: int) -> list[tuple[Entry, Address]]:
-        rows = self.rows[first : first + PIECE]
-        if msgspec is not None:
-            rows = [msgspec.json.decode(row) for row in rows]
-        return read_rows(rows)
+        return read_rows(self.rows[first : first + PIECE], _parse if msgspec is not None else None)
 
 
 def open_long(body: bytes) -> Long:
@@ -119,12 +124,12 @@
         address: Address,
         ask_every: int | None,
         tell: Callable[[Listing, Mapping[str, Address]], None],
-        in_force: Callable[[], Mapping[str, tuple[Entry, Address]]] = dict,
+        in_force: Callable[[], Mapping[str, tuple[Entry, Address]]] | None = None,
         refused: Callable[[], None] = lambda: None,
         most_list: int = MOST_LIST,
     ) -> None:
-        """`in_force`: all entries that were told and are not gone. `refused`: told of each list that is
-        longer than `most_list`, in bytes. Such a one is a failed call."""
+        """`in_force`: all entries that were told and are not gone; without it every list is taken at one go.
+        `refused`: told of each list that is longer than `most_list`, in bytes: a failed call."""
         self.in_force, self.refused, self.most_list = in_force, refused, most_list
         self.said: tuple[int | None, int] | None = None  # the last of these that the log tells of
         self.wait = min(MOST_WAIT, (ask_every or NO_ASK_EVERY) / 2e6)
@@ -191,8 +196,8 @@
                 answer = await self.caller.ask("GET", target, wait + PATIENCE, connect=CONNECT)
                 if answer.status != 200:
                     raise ValueError(f"discovery answers {answer.status}")
-                if len(answer.body) > AT_ONCE:
-                    await self._take(open_long(answer.body))
+                if len(answer.body) > AT_ONCE and self.in_force is not None:
+                    await self._take(open_long(answer.body), self.in_force)
                 else:
                     self.revision, complete, entries = read_list(json.loads(answer.body))
                     self._tell(Form.FULL if complete else Form.CHANGES, entries)
@@ -208,7 +213,7 @@
         self.asked = False
         self.tell(Listing(Form.FAILED, ()), {})
 
-    async def _take(self, told: Long) -> None:
+    async def _take(self, told: Long, in_force: Callable[[], Mapping[str, tuple[Entry, Address]]]) -> None:
         """Only what differs from the list in force is told: hosts that serve or drain as they come, those
         that are gone last. The loop is free in between."""
         self.revision = None  # if this is cut off, the list is a mixture: the whole one is to be asked for
@@ -217,15 +222,18 @@
         for first in range(0, len(told.rows), PIECE):
             entries = {entry.endpoint: (entry, address) for entry, address in told.piece(first)}
             listed.update(entries)
-            in_force = self.in_force()
-            await self._tell_piece([new for host, new in entries.items() if in_force.get(host) != new])
+            known = in_force()
+            await self._tell_piece([new for host, new in entries.items() if known.get(host) != new])
         if told.complete:
-            hosts = list(self.in_force())
+            hosts = list(in_force())
             for first in range(0, len(hosts), PIECE):
-                in_force = self.in_force()
-                gone = [in_force[host] for host in hosts[first : first + PIECE] if host not in listed]
+                known = in_force()
+                missing = [host for host in hosts[first : first + PIECE] if host not in listed]
+                gone = [known[host] for host in missing if host in known]
                 await self._tell_piece([(replace(entry, state=State.GONE), at) for entry, at in gone])
         self.revision = told.revision
+        if not self.pieces:
+            self._tell(Form.CHANGES, [])  # the module hears that the call went well
 
     async def _tell_piece(self, entries: list[tuple[Entry, Address]]) -> None:
         if entries:
@@ -245,5 +253,5 @@
             hint = "" if msgspec is not None else "; the extra `lists` lifts the limit"
             log.error(
                 "the list of %s bytes is over the limit of %d bytes (the list in force stays, of %d hosts%s)",
-                told, limit, len(self.in_force()), hint,
+                told, limit, len(self.in_force()) if self.in_force is not None else 0, hint,
             )  # fmt: skip
--- a/tests/membership/test_long_lists.py
+++ b/tests/membership/test_long_lists.py
@@ -133,25 +133,25 @@
 def test_no_more_than_a_piece_is_read_or_compared_at_a_time(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Also where nothing has changed: then nothing is told."""
+    """Also where nothing has changed: then no entry is told, but that the call went well."""
     at: list[tuple[int, int]] = []
 
     async def scenario(w: World) -> None:
         told = Told(w)
         was = module.read_rows
 
-        def read_rows(rows: Any) -> Any:
-            rows = list(rows)
+        def read_rows(rows: Any, decode: Any = None) -> Any:
             if rows:
                 at.append((told.passed, len(rows)))
-            return was(rows)
+            return was(rows, decode)
 
         monkeypatch.setattr(module, "read_rows", read_rows)
         rows = [row(i) for i in range(LONG)]
         w.list_answer = answers(whole(7, rows), whole(8, rows))
         told.told.watch()
         await told.until(8)
-        assert len(told.pieces) == 6 and len(at) == 12
+        assert len(told.pieces) == 7 and len(at) == 12
+        assert told.pieces[6] == Listing(Form.CHANGES, ()) and told.revisions[6] == 8
         assert all(many <= PIECE for _, many in at)
         assert all(a < b for (a, _), (b, _) in pairwise(at))
         told.told.close()
@@ -165,7 +165,8 @@
         before = [row(i) for i in range(LONG)]
         after = [
             row(LONG), row(5, State.DRAINING), row(6, host_port="127.0.0.1:99"), row(7, size=2.0),
-            *before[8 : LONG - 3], row(LONG - 1, State.GONE), row(8, cell="no number"), 5, row(9, State.GONE),
+            *before[8 : LONG - 3], row(LONG - 1, State.GONE), row(8, cell="no number"), 5, "a word", {}, [[]],
+            row(9, State.GONE),
         ]  # fmt: skip
         w.list_answer = answers(whole(7, before), whole(8, after))
         told = Told(w)
@@ -242,6 +243,40 @@
     run(scenario, tmp_path)
 
 
+def test_a_row_that_can_not_be_parsed_is_passed_over(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Found only when its piece is read, where rows are cut first: the rest of the list is taken."""
+
+    async def scenario(w: World) -> None:
+        rows = [row(i) for i in range(LONG)]
+        body = whole(7, rows).replace(b'"id": "h700"', b'"id": "h\xff\xfe"')
+        w.list_answer = answers(body)
+        told = Told(w)
+        told.told.watch()
+        await told.until(7)
+        assert set(told.entries) == {f"h{i}" for i in range(LONG) if i != 700}
+        told.told.close()
+
+    run(scenario, tmp_path)
+    lines = [r.getMessage() for r in caplog.records if "passed over" in r.getMessage()]
+    assert len(lines) == 1 and "127.0.0.1:" in lines[0]
+
+
+@both
+def test_without_a_view_of_what_is_in_force_it_is_told_at_one_go(tmp_path: Path) -> None:
+    async def scenario(w: World) -> None:
+        w.list_answer = answers(whole(7, [row(i) for i in range(LONG)]))
+        told = Told(w)
+        told.told.in_force = None
+        told.told.watch()
+        await told.until(7)
+        assert told.forms() == [Form.FULL] and len(told.entries) == LONG
+        told.told.close()
+
+    run(scenario, tmp_path)
+
+
 @both
 @pytest.mark.parametrize(
     "bad", [b"[1]", b"[" * 40_000, b'{"revision":1,"complete":true,"members":3}', b'{"members":[]}', b"{"]
