--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -12,6 +12,10 @@
 over_budget             what is over its limit, the furthest first; `NAME?`: not measured
 faults, registry, real, slopes
                         what those figures are made of
+run_mb, run_processes   the most that this run had at once
+
+Bytes are those of streams and datagrams; headers of IP, TCP and UDP come to them (`pieces_per_s`: writes and
+reads of a hollow relay with registries).
 """
 
 from __future__ import annotations
@@ -25,7 +29,7 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.scale.fleet import TooMuch, guarded
+from benchmarks.scale.fleet import Peak, TooMuch, guarded
 from benchmarks.scale.run import FULL, QUICK, measure
 
 
@@ -33,8 +37,9 @@
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    told: dict[str, Any] = await guarded(measure(QUICK if quick else FULL, plots))
-    return told
+    peak = Peak()
+    told: dict[str, Any] = await guarded(measure(QUICK if quick else FULL, plots), peak)
+    return told | {"run_mb": round(peak.mb), "run_processes": peak.processes}
 
 
 def main() -> int:
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -285,7 +285,15 @@
     """More memory or processes than the run may use."""
 
 
-async def guard(most_share: float = 0.5) -> None:
+@dataclass
+class Peak:
+    """The most that all processes of a run had at once, as the guard saw it; what they share counts twice."""
+
+    mb: float = 0.0
+    processes: int = 0
+
+
+async def guard(peak: Peak, most_share: float = 0.5) -> None:
     """Looks each second at all processes of the run. Raises TooMuch."""
     most = psutil.virtual_memory().total * most_share
     own = psutil.Process()
@@ -295,14 +303,15 @@
             with contextlib.suppress(psutil.Error):
                 used += child.memory_info().rss
                 count += 1
+        peak.mb, peak.processes = max(peak.mb, used / 1e6), max(peak.processes, count)
         if used > most or count > MOST_PROCESSES:
             raise TooMuch(f"{used / 1e6:.0f} MB in {count} processes; at most {most / 1e6:.0f} MB")
         await asyncio.sleep(1.0)
 
 
-async def guarded(work: Any) -> Any:
+async def guarded(work: Any, peak: Peak) -> Any:
     """The work's result, unless the guard stops it. Raises TooMuch, or what the work raises."""
-    working, watching = asyncio.ensure_future(work), asyncio.ensure_future(guard())
+    working, watching = asyncio.ensure_future(work), asyncio.ensure_future(guard(peak))
     try:
         await asyncio.wait((working, watching), return_when=asyncio.FIRST_COMPLETED)
         if not working.done():
--- a/tests/benchmarks/test_scale.py
+++ b/tests/benchmarks/test_scale.py
@@ -23,7 +23,7 @@
     slice_of,
 )
 from benchmarks.scale.discovery import Book, Discovery
-from benchmarks.scale.fleet import Fleet, TooMuch, guard, guarded
+from benchmarks.scale.fleet import Fleet, Peak, TooMuch, guard, guarded
 from benchmarks.scale.links import CountingLoop, Forwarder, Links, whose
 from benchmarks.scale.run import Plan, measure
 from benchmarks.scale.slopes import Slopes
@@ -191,7 +191,7 @@
 
 def test_the_guard_stops_what_takes_too_much() -> None:
     with pytest.raises(TooMuch):
-        asyncio.run(guard(most_share=0.0))
+        asyncio.run(guard(Peak(), most_share=0.0))
 
 
 # A small fleet
@@ -239,7 +239,8 @@
         destinations=(100, 200, 400), slices=(10, 20, 40), relays=(4, 8, 16), members=(),
         registries=1, real=1, each=8, changes=1, steady=2.2, settle=0.0, spans=None, together=True,
     )  # fmt: skip
-    line = asyncio.run(guarded(measure(small, None)))
+    peak = Peak()
+    line = asyncio.run(guarded(measure(small, None), peak))
     assert (line["relays"], line["destinations"]) == (16, 400)
     for limit in LIMITS:
         assert figure(line, limit.at) is not None, limit
@@ -251,6 +252,7 @@
     assert line["in_force_s"]["counted"] == 2 * 16  # one change as they came to be 16, one undisturbed
     assert "missing" not in line["in_force_s"]
     json.dumps(line, allow_nan=False)
+    assert peak.processes >= 6 and peak.mb > 100
 
 
 def test_children_end_where_a_run_fails(tmp_path: Path) -> None:
