Store: pruning has a module of its own

Change: deleting old records moves to loftrelay/store/pruning.py as it was. No behaviour is changed.

--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -17,7 +17,8 @@
 from loftrelay.relay.message import Message
 from loftrelay.relay.ports import RecoveryAction
 from loftrelay.store import state_machine
-from loftrelay.store.backend import RecordQuery, StoreBackend, StoreError
+from loftrelay.store.backend import RecordQuery, StoreBackend
+from loftrelay.store.pruning import Pruner
 from loftrelay.store.state_machine import (
     Change,
     ChangeKind,
@@ -30,13 +31,9 @@
     StoredFinalStatus,
 )
 from loftrelay.store.writer import IdInUseError, StoreBusyError, Writer
-from loftrelay.tasks.supervision import start_supervised
 
 log = logging.getLogger(__name__)
 
-PRUNE_INTERVAL_S = 60.0
-PRUNE_STEP_DELAY_S = 0.1  # between two steps
-PRUNE_ROWS = 500  # records deleted in one step
 MIN_RETRY_AFTER_MS = 1_000  # of a rejection while the store is slow
 # HTTP status of the response to a submission, by the status of its message id; 0: the message is new.
 HTTP_STATUSES = {
@@ -118,16 +115,11 @@
         self.instance = instance
         self.modes = modes
         self.id_retention_us = id_retention_us
-        self.record_retention_us = record_retention_us
         self.max_store_wait_s = max_store_wait_s
         self.positions: dict[str, RecordPosition] = {}
         # Records in the store at the start; each is removed when its message is recovered.
         self.records_at_start: dict[str, MessageRecord] = {}
-        self.pruning = (
-            start_supervised(self._prune, "pruning of the store of record")
-            if record_retention_us is not None
-            else None
-        )
+        self.pruner = Pruner(writer, record_retention_us) if record_retention_us is not None else None
 
     @property
     def retry_after_ms(self) -> int:
@@ -468,29 +460,8 @@
             self._change(message_id, position, kind, None, result, final_status), on_written, urgent=urgent
         )
 
-    # Retention and shutdown
-
-    async def _prune_step(self, before: int) -> int:
-        return await self.writer.call(lambda store: store.prune(before, PRUNE_ROWS))
-
-    async def _prune(self) -> None:
-        """Deletes records older than their retention, in small steps."""
-        assert self.record_retention_us is not None
-        while True:
-            try:
-                before = wall_clock() - self.record_retention_us
-                while await self._prune_step(before) == PRUNE_ROWS:
-                    await asyncio.sleep(PRUNE_STEP_DELAY_S)
-            except StoreError as error:
-                log.warning(
-                    "store of record: old records were not deleted, next try in %g s: %s",
-                    PRUNE_INTERVAL_S,
-                    error,
-                )
-            await asyncio.sleep(PRUNE_INTERVAL_S)
-
     async def close(self) -> None:
         """Stops pruning and writes the queued changes."""
-        if self.pruning is not None:
-            self.pruning.cancel()
+        if self.pruner is not None:
+            self.pruner.stop()
         await self.writer.close()
