Store: a final status is reported in its time while the store of record is away

Change: a report waits for its record 0.1 s at most (relay/record_wait.py), and not at all while the store is unavailable or only follows.

--- a/loftrelay/relay/engine.py
+++ b/loftrelay/relay/engine.py
@@ -37,7 +37,7 @@
 from loftrelay.relay.handover_control import HandoverControl
 from loftrelay.relay.handover_state import HandoverState
 from loftrelay.relay.intake import Intake
-from loftrelay.relay.message_state import Stage
+from loftrelay.relay.message_state import RECORDING_STAGES, Stage
 from loftrelay.relay.ports import (
     Delivery,
     EndpointDirectory,
@@ -137,8 +137,7 @@
         return bool(
             self.context.delivery.is_busy
             or self.context.status_reporter.pending
-            or counts[Stage.RECORDING_DELIVERY]
-            or counts[Stage.RECORDING_FINAL_STATUS]
+            or any(counts[stage] for stage in RECORDING_STAGES)
         )
 
     def destination_resolved(self, destination: int, status: ResolutionStatus) -> None:
@@ -174,8 +173,9 @@
     def metric_lines(self) -> list[str]:
         """Returns the lines of all metrics for operators."""
         context = self.context
-        delivered = context.message_states.counts[Stage.RECORDING_DELIVERY]
-        outstanding = 0 if context.is_handed_over else len(context.journal.messages) - delivered
+        counts = context.message_states.counts
+        ended = counts[Stage.RECORDING_DELIVERY] + counts[Stage.RECORDING_REPORTED]
+        outstanding = 0 if context.is_handed_over else len(context.journal.messages) - ended
         gauges = Gauges(
             outstanding,
             len(self.endpoints.max_batch_size_by_host),
--- a/loftrelay/relay/fault_points.py
+++ b/loftrelay/relay/fault_points.py
@@ -35,12 +35,18 @@
     "tell",  # the store has recorded the final status; the platform has no report yet
     "told",  # the platform has acknowledged the report
 )
+# A message whose final status the store has not recorded in time passes these in place of "tell" and "told":
+UNRECORDED_POINTS = (
+    "tell unrecorded",  # the platform has no report yet
+    "told unrecorded",  # the platform has acknowledged the report; the journal does not say so yet
+    "journal told",  # the journal says so
+)
 
 # Fault points of a handover, in order:
 PREDECESSOR_POINTS = ("frozen", "told state", "giving", "given", "handed over")
 SUCCESSOR_POINTS = ("loaded", "yours", "taken over")
 
-ALL_POINTS = DELIVERY_POINTS + FINAL_STATUS_POINTS + PREDECESSOR_POINTS + SUCCESSOR_POINTS
+ALL_POINTS = DELIVERY_POINTS + FINAL_STATUS_POINTS + UNRECORDED_POINTS + PREDECESSOR_POINTS + SUCCESSOR_POINTS
 
 listener: Callable[[str], None] | None = None
 
--- a/loftrelay/relay/final_statuses.py
+++ b/loftrelay/relay/final_statuses.py
@@ -1,11 +1,14 @@
 """Final statuses: records how a message ended, and informs its client or the platform exactly once.
 
-Where there is a store, it records the final status before anyone is informed. After that the message is
-complete.
+Where there is a store, it records the final status before anyone is informed, unless it takes too long: the
+client or the platform is then informed without it, and the journal keeps the message until the store has the
+final status. A delivery is never claimed without its record.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 from loftrelay.decisions.events import FinalStatusReported
@@ -13,8 +16,10 @@
 from loftrelay.relay.context import RelayContext
 from loftrelay.relay.fault_points import fault_point
 from loftrelay.relay.message import Message
-from loftrelay.relay.message_state import ResponseCallback
+from loftrelay.relay.message_state import ResponseCallback, Stage
 from loftrelay.relay.message_terms import is_idempotent
+from loftrelay.relay.ports import MessageStore
+from loftrelay.relay.record_wait import RecordWait
 from loftrelay.relay.statuses import (
     DELIVERED,
     FAILED,
@@ -25,11 +30,29 @@
     STORED_FAILED,
     STORED_REJECTED,
     FinalStatusRecord,
+    as_reported,
     final_status_record,
     stored_status_of,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class PendingResponse:
+    """The response to a client whose message is rejected or failed before it was accepted.
+
+    Attributes:
+        message_id: Id of the message.
+        respond: Responds to the client.
+        status: REJECTED or FAILED.
+        retry_after_ms: Delay before the client may submit it again, in milliseconds; 0 for none.
+    """
+
+    message_id: str
+    respond: ResponseCallback
+    status: int
+    retry_after_ms: int
+
+
 class FinalStatuses:
     """Completes the messages of one relay."""
 
@@ -62,59 +85,112 @@
     def _respond_to_client(
         self, message_id: str, respond: ResponseCallback, status: int, retry_after_ms: int
     ) -> None:
-        done = partial(self._finish_response, message_id, respond, status, retry_after_ms)
+        response = PendingResponse(message_id, respond, status, retry_after_ms)
         if self.context.store is None:
-            done()
+            self._respond(response, True)
             return
         stored_status = STORED_FAILED if status == FAILED else STORED_REJECTED
-        self.context.store.record_final_status(message_id, stored_status, None, done)
+        self._record(self.context.store, message_id, stored_status, partial(self._respond, response))
 
-    def _finish_response(
-        self, message_id: str, respond: ResponseCallback, status: int, retry_after_ms: int
-    ) -> None:
-        context = self.context
+    def _respond(self, response: PendingResponse, is_recorded: bool) -> None:
+        """Completes a message by the response to its client; without a record, the journal keeps it."""
+        context, message_id = self.context, response.message_id
         if (message := context.journal.messages.get(message_id)) is not None:
-            self._count(message, FinalStatus.ABORTED if status == FAILED else FinalStatus.REJECTED)
-        context.journal.complete(message_id)
-        context.message_states.complete(message_id)
-        respond(status, retry_after_ms)
+            has_failed = response.status == FAILED
+            self._count(message, FinalStatus.ABORTED if has_failed else FinalStatus.REJECTED)
+        if is_recorded:
+            context.journal.complete(message_id)
+            context.message_states.complete(message_id)
+        else:
+            final_status = final_status_record(response.status, response.retry_after_ms)
+            context.journal.record_final_status(message_id, as_reported(final_status))
+            context.message_states.begin_recording_reported(message_id)
+        response.respond(response.status, response.retry_after_ms)
         context.post(FinalStatusReported(message_id))
-        if context.store is not None:
+        if context.store is not None and is_recorded:
             context.store.final_status_reported(message_id)
 
     def report(self, message_id: str, final_status: FinalStatusRecord) -> None:
-        """Reports a final status to the platform, once the store has recorded it."""
+        """Reports a final status to the platform, once the store has recorded it or takes too long."""
         context = self.context
         if context.store is None:
             context.message_states.report_without_store(message_id)
             context.status_reporter.report(message_id, final_status)
             return
         context.message_states.begin_recording_final_status(message_id, final_status)
-        done = partial(self._report_recorded, message_id)
-        context.store.record_final_status(message_id, stored_status_of(final_status), None, done)
+        report = partial(self._begin_reporting, message_id)
+        self._record(context.store, message_id, stored_status_of(final_status), report)
 
-    def _report_recorded(self, message_id: str) -> None:
-        fault_point("tell")
-        final_status = self.context.message_states.begin_reporting(message_id)
+    def resume_recording(self, message: Message) -> None:
+        """Records a final status that was reported before a restart; it is not reported again."""
+        store = self.context.store
+        assert store is not None
+        assert message.final_status is not None
+        self.context.message_states.begin_recording_reported(message.id)
+        done = partial(self._recorded_after_report, store, message.id)
+        store.record_final_status(message.id, stored_status_of(message.final_status), None, done)
+
+    def _record(
+        self, store: MessageStore, message_id: str, stored_status: str, step: Callable[[bool], None]
+    ) -> None:
+        """Records a final status; calls `step` with whether the store has it, at the latest at the limit."""
+        wait = RecordWait(step)
+        done = partial(self._recorded, store, message_id, wait)
+        store.record_final_status(message_id, stored_status, None, done)
+        wait.limit(store.max_record_wait_s(message_id))
+
+    def _recorded(self, store: MessageStore, message_id: str, wait: RecordWait) -> None:
+        if wait.is_over:
+            self._recorded_after_report(store, message_id)
+        else:
+            wait.recorded()
+
+    def _recorded_after_report(self, store: MessageStore, message_id: str) -> None:
+        """Notes a record that came after the report had begun; completes the message if that has ended."""
+        states = self.context.message_states
+        states.mark_recorded(message_id)
+        if states.stage(message_id) is Stage.RECORDING_REPORTED:
+            store.final_status_reported(message_id, partial(self._complete_reported, message_id))
+
+    def _begin_reporting(self, message_id: str, is_recorded: bool) -> None:
+        fault_point("tell" if is_recorded else "tell unrecorded")
+        states = self.context.message_states
+        if is_recorded:
+            states.mark_recorded(message_id)
+        final_status = states.begin_reporting(message_id)
         if final_status is not None:
             self.context.status_reporter.report(message_id, final_status)
 
     def report_acknowledged(self, message_id: str) -> None:
-        """Completes a message whose final status the platform has acknowledged."""
-        fault_point("told")
+        """Completes a message whose final status the platform has acknowledged.
+
+        The journal keeps it until the store has the final status.
+        """
+        context = self.context
+        is_recorded = context.message_states.is_recorded(message_id)
+        fault_point("told" if is_recorded else "told unrecorded")
+        if (message := context.journal.messages.get(message_id)) is not None:
+            self._count(message, FinalStatus.ABORTED if _has_failed(message) else FinalStatus.REJECTED)
+        if is_recorded:
+            self._complete_reported(message_id)
+            if context.store is not None:
+                context.store.final_status_reported(message_id)
+        else:
+            context.message_states.begin_recording_reported(message_id)
+            if message is not None and message.final_status is not None:
+                context.journal.record_final_status(message_id, as_reported(message.final_status))
+            fault_point("journal told")
+        context.post(FinalStatusReported(message_id))
+
+    def _complete_reported(self, message_id: str) -> None:
         context = self.context
         message = context.journal.messages.get(message_id)
-        final_status = message.final_status if message is not None else None
-        has_failed = final_status is not None and final_status["status"] == STATUS_FAILED
-        if message is not None:
-            self._count(message, FinalStatus.ABORTED if has_failed else FinalStatus.REJECTED)
         context.message_states.complete(message_id)
         # A rejection guarantees that submitting the message again is safe, so its id is free.
-        is_remembered = has_failed and message is not None and not is_idempotent(message.packed_terms)
+        is_remembered = (
+            message is not None and _has_failed(message) and not is_idempotent(message.packed_terms)
+        )
         context.journal.complete(message_id, FAILED if is_remembered else 0)
-        if context.store is not None:
-            context.store.final_status_reported(message_id)
-        context.post(FinalStatusReported(message_id))
 
     def message_delivered(self, message: Message) -> None:
         """Completes a delivered message. The journal keeps it until the store has recorded the delivery."""
@@ -162,3 +238,7 @@
         if store is not None:
             done = partial(store.final_status_reported, message_id)
             store.record_final_status(message_id, STORED_REJECTED, None, done)
+
+
+def _has_failed(message: Message) -> bool:
+    return message.final_status is not None and message.final_status["status"] == STATUS_FAILED
--- a/loftrelay/relay/intake.py
+++ b/loftrelay/relay/intake.py
@@ -20,7 +20,7 @@
 from loftrelay.relay.fault_points import fault_point
 from loftrelay.relay.final_statuses import FinalStatuses
 from loftrelay.relay.message import Message
-from loftrelay.relay.message_state import ResponseCallback, Stage
+from loftrelay.relay.message_state import RECORDING_STAGES, ResponseCallback, Stage
 from loftrelay.relay.pending_submissions import PendingSubmission, PendingSubmissions
 from loftrelay.relay.ports import JournalFullError, ResolutionStatus, StoreDecision
 from loftrelay.relay.statuses import ACCEPTED, FAILED, REJECTED, STATUS_REJECTED
@@ -41,8 +41,7 @@
     def open_messages(self) -> int:
         """Number of messages without a final status, those that wait for their destination included."""
         counts = self.context.message_states.counts
-        completing = counts[Stage.RECORDING_DELIVERY] + counts[Stage.RECORDING_FINAL_STATUS]
-        completing += self.context.status_reporter.pending
+        completing = sum(counts[stage] for stage in RECORDING_STAGES) + self.context.status_reporter.pending
         return len(self.context.journal.messages) - completing + len(self.pending)
 
     def is_client_waiting(self, message_id: str) -> bool:
--- a/loftrelay/relay/message_state.py
+++ b/loftrelay/relay/message_state.py
@@ -11,9 +11,12 @@
                                     |               |
                                     v               +--> RECORDING_DELIVERY --> complete
                                RESPONDING           +--> RECORDING_FINAL_STATUS --> REPORTING --> complete
-                                    |               +--> REPORTING --> complete       (without a store)
-                                    v
-                                complete
+                                 |     |            +--> REPORTING --> complete       (without a store)
+                                 v     v
+                           complete  RECORDING_REPORTED --> complete
+
+A final status whose record takes too long is reported without it: RESPONDING and REPORTING then lead to
+RECORDING_REPORTED, where the message stays until the store has the final status.
 """
 
 from __future__ import annotations
@@ -38,18 +41,28 @@
     IN_FLIGHT = "in flight"  # part of a call that has begun or is about to begin
     # Owned by this process; its call was begun by the predecessor.
     IN_FLIGHT_AT_PREDECESSOR = "in flight at predecessor"
-    RESPONDING = (
-        "responding"  # rejected or failed; its client gets the response once the store has recorded it
-    )
+    RESPONDING = "responding"  # rejected or failed; the response to its client waits for the store
     RECORDING_DELIVERY = "recording delivery"  # delivered; not recorded in the store yet
-    RECORDING_FINAL_STATUS = "recording final status"  # rejected or failed; not recorded in the store yet
+    RECORDING_FINAL_STATUS = "recording final status"  # rejected or failed; the report waits for the store
     REPORTING = "reporting"  # the final status is being reported to the platform
+    # The client or the platform has the final status; the store does not have it yet.
+    RECORDING_REPORTED = "recording reported final status"
 
 
+# The message has its final status, and the store does not have it yet.
+RECORDING_STAGES = (Stage.RECORDING_DELIVERY, Stage.RECORDING_FINAL_STATUS, Stage.RECORDING_REPORTED)
 _ENDING_STAGES = frozenset({Stage.RECORDING_DELIVERY, Stage.RECORDING_FINAL_STATUS, Stage.REPORTING})
 # After a restart or a handover a message is in the stage that the journal, store or predecessor left it in.
 _INITIAL_STAGES = (
-    frozenset({Stage.STORING, Stage.AWAITING_BATCH, Stage.WAITING, Stage.IN_FLIGHT_AT_PREDECESSOR})
+    frozenset(
+        {
+            Stage.STORING,
+            Stage.AWAITING_BATCH,
+            Stage.WAITING,
+            Stage.IN_FLIGHT_AT_PREDECESSOR,
+            Stage.RECORDING_REPORTED,
+        }
+    )
     | _ENDING_STAGES
 )
 TRANSITIONS: dict[Stage | None, frozenset[Stage | None]] = {
@@ -59,10 +72,11 @@
     Stage.WAITING: frozenset({Stage.IN_FLIGHT, None}) | _ENDING_STAGES,
     Stage.IN_FLIGHT: frozenset({Stage.WAITING}),  # a message can't complete while its call is in flight
     Stage.IN_FLIGHT_AT_PREDECESSOR: frozenset({Stage.WAITING, None}),
-    Stage.RESPONDING: frozenset({None}),
+    Stage.RESPONDING: frozenset({Stage.RECORDING_REPORTED, None}),
     Stage.RECORDING_DELIVERY: frozenset({None}),
     Stage.RECORDING_FINAL_STATUS: frozenset({Stage.REPORTING}),
-    Stage.REPORTING: frozenset({None}),
+    Stage.REPORTING: frozenset({Stage.RECORDING_REPORTED, None}),
+    Stage.RECORDING_REPORTED: frozenset({None}),
 }
 
 
@@ -74,7 +88,8 @@
     respond: ResponseCallback | None = None  # set while the client waits
     sent_at: int | None = None  # when its call began, in microseconds of the scheduler's clock
     host: str = ""  # target of the predecessor's call
-    final_status: dict[str, Any] | None = None  # set while the store records it
+    final_status: dict[str, Any] | None = None  # set until it is reported
+    is_recorded: bool = False  # the store has the final status
 
 
 class MessageStates:
@@ -204,7 +219,7 @@
         self._move(message_id, Stage.RECORDING_FINAL_STATUS).final_status = final_status
 
     def begin_reporting(self, message_id: str) -> dict[str, Any] | None:
-        """Notes that the store has recorded a final status; returns it, or None if no report is due."""
+        """Notes that a final status is reported from now on; returns it, or None if no report is due."""
         state = self.by_message.get(message_id)
         if state is None or state.stage is not Stage.RECORDING_FINAL_STATUS:
             return None
@@ -214,4 +229,18 @@
 
     def report_without_store(self, message_id: str) -> None:
         """Notes that the final status of a message is reported at once, as there is no store to record it."""
-        self._move(message_id, Stage.REPORTING)
+        self._move(message_id, Stage.REPORTING).is_recorded = True
+
+    def mark_recorded(self, message_id: str) -> None:
+        """Notes that the store has the final status of a message."""
+        if (state := self.by_message.get(message_id)) is not None:
+            state.is_recorded = True
+
+    def is_recorded(self, message_id: str) -> bool:
+        """Returns whether the store has the final status of a message, or nobody waits for its record."""
+        state = self.by_message.get(message_id)
+        return state is None or state.is_recorded
+
+    def begin_recording_reported(self, message_id: str) -> None:
+        """Notes that a final status was reported before the store has recorded it."""
+        self._move(message_id, Stage.RECORDING_REPORTED)
--- a/loftrelay/relay/ports.py
+++ b/loftrelay/relay/ports.py
@@ -147,8 +147,16 @@
             done: called without arguments, immediately or later.
         """
 
-    def final_status_reported(self, message_id: str) -> None:
-        """Records that the client or the platform has received the final status of a message."""
+    def max_record_wait_s(self, message_id: str) -> float:
+        """Returns how long a final status may wait for its record before it is reported without, in s."""
+
+    def final_status_reported(self, message_id: str, done: Callable[[], None] | None = None) -> None:
+        """Records that the client or the platform has received the final status of a message.
+
+        Args:
+            message_id: id of the message.
+            done: called once that is recorded, immediately or later.
+        """
 
     def stored_final_status(self, message_id: str) -> str | None:
         """Returns the stored status of a message, as it was before a restart; None if it has none."""
--- a/loftrelay/relay/recovery.py
+++ b/loftrelay/relay/recovery.py
@@ -26,6 +26,7 @@
     STORED_DELIVERED,
     STORED_FAILED,
     final_status_from_stored,
+    is_reported,
 )
 
 log = logging.getLogger(__name__)
@@ -113,8 +114,11 @@
     def _reconcile(self, message: Message) -> bool:
         """Reconciles a message of the journal with the store; returns whether the message is still open."""
         store = self.context.store
+        has_report = message.final_status is not None and is_reported(message.final_status)
         if store is None:
-            return True
+            if has_report:
+                self.context.journal.complete(message.id)
+            return not has_report
         stored_status = store.stored_final_status(message.id)
         action = store.recover(message, message.id, not is_repeatable(message.packed_terms))
         if action is RecoveryAction.COMPLETE and _is_disputed_delivery(message, stored_status):
@@ -131,6 +135,9 @@
             return False
         if action is RecoveryAction.REPORT_AGAIN and message.final_status is None:
             self.context.journal.record_final_status(message.id, final_status_from_stored(stored_status))
+        if has_report:
+            self.final_statuses.resume_recording(message)
+            return False
         # Recorded as a possible run, so that the scheduler fails the message: it must not run twice.
         if action is RecoveryAction.FAIL and message.first_uncertain_attempt_at is None:
             self.context.journal.record_dispute(message, message.attempt_host or "", wall_clock())
--- a/loftrelay/relay/statuses.py
+++ b/loftrelay/relay/statuses.py
@@ -17,6 +17,8 @@
 STORED_FAILED = "failed"
 
 FinalStatusRecord = dict[str, Any]  # as in the journal and in reports to the platform
+# In the journal alone: the client or the platform has the final status, and the store may not have it yet.
+REPORTED_FIELD = "told"
 
 
 def final_status_record(status: int, retry_after_ms: int) -> FinalStatusRecord:
@@ -32,6 +34,16 @@
     return record
 
 
+def as_reported(final_status: FinalStatusRecord) -> FinalStatusRecord:
+    """Returns the record of a final status that the client or the platform has received."""
+    return {**final_status, REPORTED_FIELD: True}
+
+
+def is_reported(final_status: FinalStatusRecord) -> bool:
+    """Returns whether the client or the platform has received a final status, according to its record."""
+    return REPORTED_FIELD in final_status
+
+
 def final_status_from_stored(stored_status: str | None) -> FinalStatusRecord:
     """Returns the final status to report for a stored status; failed if the store has none."""
     return {"status": STATUS_REJECTED if stored_status == STORED_REJECTED else STATUS_FAILED}
--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -35,6 +35,7 @@
 log = logging.getLogger(__name__)
 
 MIN_RETRY_AFTER_MS = 1_000  # of a rejection while the store is slow
+MAX_RECORD_WAIT_S = 0.1  # of a final status for its record; its report is due 0.3 s after the deadline
 # HTTP status of the response to a submission, by the status of its message id; 0: the message is new.
 HTTP_STATUSES = {
     MessageIdStatus.NEW: 0,
@@ -90,6 +91,10 @@
     del decision
 
 
+def _do_nothing() -> None:
+    """Ends a change that no caller waits for."""
+
+
 class Recorder:
     """Records the progress of the messages of one relay.
 
@@ -357,14 +362,21 @@
         if position is not None and position.state is RecordState.IN_FLIGHT:
             self._post(message_id, position, ChangeKind.END_ATTEMPT, result=result)
 
+    def max_record_wait_s(self, message_id: str) -> float:
+        """Returns how long a final status may wait for its record before it is reported without, in s.
+
+        It does not wait while the store is unavailable, nor for WRITE_BEHIND classes.
+        """
+        position = self.positions.get(message_id)
+        is_required = position is not None and position.mode is DurabilityMode.WRITE_AHEAD
+        return MAX_RECORD_WAIT_S if is_required and not self.writer.is_store_unavailable else 0.0
+
     def record_final_status(
         self, message_id: str, stored_status: str, result: str | None, done: Callable[[], None]
     ) -> None:
         """Records the final status of a message; calls `done` after the commit.
 
-        It calls `done` immediately for WRITE_BEHIND classes, except for deliveries, and if the message is not
-        recorded. A delivery is always committed first: the journal keeps it until then, and no client or
-        platform waits for it.
+        It calls `done` immediately if the message is not recorded. Until the commit the journal keeps it.
         """
         position, final_status = self.positions.get(message_id), StoredFinalStatus(stored_status)
         if position is None:
@@ -379,29 +391,32 @@
         if position.state in (RecordState.DECIDED, RecordState.REPORTED, None):
             done()
             return
+        urgent = position.mode is DurabilityMode.WRITE_AHEAD
         if final_status is StoredFinalStatus.DELIVERED:
             # A delivery is not reported to anybody, so it is recorded as reported, mostly in the same commit.
             self._post(message_id, position, ChangeKind.DECIDE, final_status=final_status, result=result)
+            self._write(message_id, position, ChangeKind.REPORT, done, urgent=urgent)
+        else:
             self._write(
                 message_id,
                 position,
-                ChangeKind.REPORT,
+                ChangeKind.DECIDE,
                 done,
-                urgent=position.mode is DurabilityMode.WRITE_AHEAD,
-            )
-        elif position.mode is DurabilityMode.WRITE_BEHIND:
-            self._post(message_id, position, ChangeKind.DECIDE, final_status=final_status, result=result)
-            done()
-        else:
-            self._write(
-                message_id, position, ChangeKind.DECIDE, done, final_status=final_status, result=result
+                final_status=final_status,
+                result=result,
+                urgent=urgent,
             )
 
-    def final_status_reported(self, message_id: str) -> None:
-        """Records that the final status of a message was reported."""
+    def final_status_reported(self, message_id: str, done: Callable[[], None] | None = None) -> None:
+        """Records that the final status of a message was reported; calls `done` after the commit.
+
+        It calls `done` immediately if the message is not recorded.
+        """
         position = self.positions.pop(message_id, None)
         if position is not None and position.state is RecordState.DECIDED:
-            self._post(message_id, position, ChangeKind.REPORT)
+            self._write(message_id, position, ChangeKind.REPORT, done or _do_nothing, urgent=False)
+        elif done is not None:
+            done()
 
     def _change(
         self,
--- /dev/null
+++ b/tests/program/test_store_outage.py
@@ -0,0 +1,177 @@
+"""The store of record is away, slow or hangs: accepted messages are delivered or reported in their time.
+
+Once the store is back, it has the final status that was reported, also after a kill meanwhile.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import pytest
+
+from loftrelay.relay.fault_points import UNRECORDED_POINTS
+from loftrelay.store.state_machine import RecordState, StoredFinalStatus
+from tests.program.test_record import configure_store, read_records, wait_for_state
+from tests.standins.harness import (
+    SETTINGS,
+    TEST_TIMEOUT_S,
+    RelayHarness,
+    Request,
+    format_response,
+    run_scenario,
+    undeliverable_report,
+)
+from tests.standins.store_lock import locked_store
+
+REPORT_MARGIN_S = 0.35  # after the deadline of a message its report is due
+MESSAGE_TIME_S = 2.0
+ONE_CALL = {**SETTINGS["extra"], "call_slots": 1}
+ONE_ATTEMPT = {**SETTINGS["policy_limits"], "most_tries": 1}
+
+
+@dataclass(frozen=True)
+class Submission:
+    """An accepted message."""
+
+    name: str
+    due_at: float  # wall clock, seconds
+
+
+async def submit_orders(
+    harness: RelayHarness, names: list[str], message_time_s: float = MESSAGE_TIME_S
+) -> list[Submission]:
+    """Submits orders, each with a key of its own; returns those that were accepted."""
+    accepted = []
+    for name in names:
+        due_at = time.time() + message_time_s
+        time_left_ms = str(int(message_time_s * 1000))
+        path = f"/order/{name}"
+        if await harness.submit(name, "order", path=path, Request_Timeout_Ms=time_left_ms) == 202:
+            accepted.append(Submission(name, due_at))
+    return accepted
+
+
+class SlowHost:
+    """Host that takes some time for each message and delivers it."""
+
+    def __init__(self, work_s: float) -> None:
+        self.work_s = work_s
+        self.begun_at: dict[str, float] = {}
+        self.delivered: list[str] = []
+
+    async def respond(self, request: Request) -> bytes | None:
+        self.begun_at[request.id] = time.time()
+        await asyncio.sleep(self.work_s)
+        self.delivered.append(request.id)
+        return format_response(200)
+
+
+def late_messages(harness: RelayHarness, host: SlowHost, accepted: list[Submission]) -> list[str]:
+    """Describes the accepted messages that were neither delivered nor reported in time."""
+    late = []
+    for submission in accepted:
+        reported_at = harness.reported_at.get(submission.name, float("inf"))
+        late_s = reported_at - submission.due_at - REPORT_MARGIN_S
+        if submission.name not in host.delivered and late_s > 0:
+            late.append(f"{submission.name}: {late_s:.2f} s late")
+    return late
+
+
+def check_agreement(harness: RelayHarness, host: SlowHost, path: Path) -> None:
+    """Store, platform and host agree on each message, and no call followed a report."""
+    reports = [report["id"] for report in harness.status_reports]
+    assert len(reports) == len(set(reports))
+    for name, record in read_records(path).items():
+        assert record.state is RecordState.REPORTED
+        is_delivered = record.final_status is StoredFinalStatus.DELIVERED
+        assert is_delivered == (name in host.delivered), name
+        assert is_delivered == (name not in reports), name
+    for name, reported_at in harness.reported_at.items():
+        assert host.begun_at.get(name, 0.0) < reported_at
+
+
+def test_waiting_orders_are_reported_in_time_while_the_store_is_away(tmp_path: Path) -> None:
+    """Their reports waited for the store, and came only when it was back."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness)
+        host = SlowHost(0.2)
+        await harness.start_host(host.respond)
+        await harness.start()
+        accepted = await submit_orders(harness, [f"o{number}" for number in range(12)])
+        assert len(accepted) == 12
+        with locked_store(path):
+            await asyncio.sleep(MESSAGE_TIME_S + 2 * REPORT_MARGIN_S)
+            reported = set(harness.reported_at)
+            assert reported
+            assert await harness.submit("o11", "order", path="/order/o11") == 500  # as was reported
+            assert read_records(path)["o11"].final_status is None
+        assert late_messages(harness, host, accepted) == []
+        await wait_for_state(path, [submission.name for submission in accepted], RecordState.REPORTED)
+        assert set(harness.reported_at) == reported
+        check_agreement(harness, host, path)
+        assert await harness.submit("o11", "order", path="/order/o11") == 500
+
+    run_scenario(scenario, tmp_path, extra=ONE_CALL)
+
+
+@pytest.mark.parametrize("fault_point", UNRECORDED_POINTS, ids=lambda point: point.replace(" ", "-"))
+def test_kill_around_an_unrecorded_report_keeps_its_final_status(tmp_path: Path, fault_point: str) -> None:
+    """The store has what was reported; after "journal told" it is not reported again."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness)
+        host = SlowHost(0.2)
+        await harness.start_host(host.respond)
+        program = harness.program
+        harness.program = ["-m", "tests.standins.killed", fault_point]
+        await harness.start()
+        assert len(await submit_orders(harness, ["first", "second"])) == 2
+        with locked_store(path):
+            assert harness.process is not None
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                assert await harness.process.wait() == -9  # the fault point was reached
+        reports = list(harness.status_reports)
+        harness.program = program
+        await harness.start()
+        await wait_for_state(path, ["first", "second"], RecordState.REPORTED)
+        await harness.wait_until(lambda: undeliverable_report("second") in harness.status_reports)
+        assert "second" not in host.begun_at
+        assert read_records(path)["second"].final_status is StoredFinalStatus.FAILED
+        if fault_point == "journal told":
+            assert harness.status_reports == reports == [undeliverable_report("second")]
+
+    run_scenario(scenario, tmp_path, extra=ONE_CALL)
+
+
+def test_kill_after_the_report_of_a_class_that_the_store_follows_keeps_its_final_status(
+    tmp_path: Path,
+) -> None:
+    """The journal had completed the message: a start reported its open record as undeliverable."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        async def reject(request: Request) -> bytes | None:
+            return format_response(503)
+
+        path = configure_store(harness)
+        await harness.start_host(reject)
+        await harness.start()
+        assert await harness.submit("warm") == 202
+        await wait_for_state(path, ["warm"], RecordState.REPORTED)
+        assert await harness.submit("m") == 202
+        await wait_for_state(path, ["m"], RecordState.REPORTED)
+        harness.status_reports.clear()
+        with locked_store(path):
+            assert await harness.submit("away") == 202
+            await harness.wait_until(lambda: len(harness.status_reports) == 1)
+            await asyncio.sleep(0.1)  # for the acknowledgement of the report
+            await harness.kill()
+        await harness.start()
+        found = await wait_for_state(path, ["away"], RecordState.REPORTED)
+        assert found["away"].final_status is StoredFinalStatus.REJECTED
+        assert [report["status"] for report in harness.status_reports] == ["deferred"]
+
+    run_scenario(scenario, tmp_path, policy_limits=ONE_ATTEMPT)
--- a/tests/relay/test_engine.py
+++ b/tests/relay/test_engine.py
@@ -270,7 +270,10 @@
     ) -> None:
         done()
 
-    def final_status_reported(self, message_id: str) -> None: ...
+    def max_record_wait_s(self, message_id: str) -> float:
+        return 0.1
+
+    def final_status_reported(self, message_id: str, done: Callable[[], None] | None = None) -> None: ...
 
     def stored_final_status(self, message_id: str) -> str | None:
         return None
--- a/tests/relay/test_message_state.py
+++ b/tests/relay/test_message_state.py
@@ -25,6 +25,8 @@
     ),
     "begin_reporting": lambda states, message_id: states.begin_reporting(message_id),
     "report_without_store": lambda states, message_id: states.report_without_store(message_id),
+    "mark_recorded": lambda states, message_id: states.mark_recorded(message_id),
+    "begin_recording_reported": lambda states, message_id: states.begin_recording_reported(message_id),
     "complete": lambda states, message_id: states.complete(message_id),
 }
 MESSAGE_IDS = ("m0", "m1", "m2", "m3")
