Store: an attempt and a report do not wait for as long as a commit hangs

Cause: the wait of an attempt for its approval had no end but the answer of the store, and the decisions can't end a message whose call waits. A commit that hangs (a lock up to busy_ms, a silent PostgreSQL server up to call_s) gives no error, so the store did not count as unavailable meanwhile.

Change: a request is given up after 1 s or when the time of its call is over (store/attempt_request.py keeps the record's order), and a commit of over 1 s makes the store unavailable until it ends.

--- a/loftrelay/relay/attempts.py
+++ b/loftrelay/relay/attempts.py
@@ -43,6 +43,31 @@
     options: CallOptions
 
 
+@dataclass(slots=True)
+class ApprovalRequest:
+    """A request to one approver.
+
+    Attributes:
+        position: Position of the approver.
+        call: The call to approve.
+        requested_at: Time of the request, in seconds of the event loop's clock.
+        is_over: Whether it was decided or given up.
+        timer: Gives it up; None if it was decided at once.
+    """
+
+    position: int
+    call: PendingCall
+    requested_at: float
+    is_over: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+    def end(self) -> None:
+        """Notes that it was decided."""
+        self.is_over = True
+        if self.timer is not None:
+            self.timer.cancel()
+
+
 class Attempts:
     """Begins the calls of one relay and handles their results."""
 
@@ -86,15 +111,27 @@
         if position == len(approvers):
             self.context.delivery.send_call(call.host, call.messages, call.options)
             return
-        requested_at = asyncio.get_running_loop().time()
-        done = partial(self._approval_decided, position, call, requested_at)
+        request = ApprovalRequest(position, call, asyncio.get_running_loop().time())
+        done = partial(self._approval_decided, request)
         approvers[position].request_attempt(call.messages, call.host, done)
+        if not request.is_over:
+            max_wait_s = min(MAX_APPROVAL_WAIT_UNCHANGED_S, call.options.timeout, call.options.send_within)
+            loop = asyncio.get_running_loop()
+            request.timer = loop.call_later(max_wait_s, self._approval_timed_out, request)
+
+    def _approval_timed_out(self, request: ApprovalRequest) -> None:
+        """Gives up a request, whose approver may take longer than the messages have time."""
+        request.is_over = True
+        self._reschedule(request.position, request.call)
 
-    def _approval_decided(
-        self, position: int, call: PendingCall, requested_at: float, is_approved: bool
-    ) -> None:
-        waited = asyncio.get_running_loop().time() - requested_at
-        if is_approved and not self.context.is_stopping and self._is_still_valid(call, requested_at, waited):
+    def _approval_decided(self, request: ApprovalRequest, is_approved: bool) -> None:
+        if request.is_over:
+            return  # it was given up, and its messages may have been sent or ended since
+        request.end()
+        position, call = request.position, request.call
+        waited = asyncio.get_running_loop().time() - request.requested_at
+        is_valid = self._is_still_valid(call, request.requested_at, waited)
+        if is_approved and not self.context.is_stopping and is_valid:
             options = replace(
                 call.options,
                 timeout=max(0.0, call.options.timeout - waited),
@@ -109,7 +146,7 @@
         return waited < (MAX_APPROVAL_WAIT_UNCHANGED_S if changed_at < requested_at else MAX_APPROVAL_WAIT_S)
 
     def _reschedule(self, position: int, call: PendingCall) -> None:
-        """Reschedules a call that was refused or approved too late. It does not count as an attempt."""
+        """Reschedules a call that was refused, approved too late or given up. It is no attempt."""
         approvers = self.context.attempt_approvers
         for approver in approvers[: position + 1]:
             for message in call.messages:
--- a/loftrelay/relay/ports.py
+++ b/loftrelay/relay/ports.py
@@ -102,7 +102,10 @@
         """Requests approval of a call; calls `done` with whether it may begin."""
 
     def attempt_ended(self, message_id: str, result: str) -> None:
-        """Handles the result of a requested attempt that was not a delivery."""
+        """Handles the result of a requested attempt that was not a delivery.
+
+        The requester may give up a request before its decision, which is then ignored.
+        """
 
 
 class RelayObserver(Protocol):
--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -17,6 +17,7 @@
 from loftrelay.relay.message import Message
 from loftrelay.relay.ports import RecoveryAction
 from loftrelay.store import state_machine
+from loftrelay.store.attempt_request import AttemptRequest, RecordPosition
 from loftrelay.store.backend import RecordQuery, StoreBackend
 from loftrelay.store.pruning import Pruner
 from loftrelay.store.state_machine import (
@@ -76,16 +77,6 @@
     return JournalState.NOT_EXECUTED if message.attempts else JournalState.ADMITTED
 
 
-@dataclass(slots=True)
-class RecordPosition:
-    """Position of a message's record after all queued changes are written."""
-
-    mode: DurabilityMode
-    admission_number: int = 1
-    change_number: int = 0
-    state: RecordState | None = None  # None: nothing is recorded yet
-
-
 def _ignore(decision: AdmissionDecision) -> None:
     """Ignores the result of an admission that no caller waits for."""
     del decision
@@ -327,21 +318,7 @@
 
         If they are not, none of the messages may be sent.
         """
-        pending, failed = 0, False
-
-        def settle(
-            message_id: str, position: RecordPosition, previous_state: RecordState, error: Exception | None
-        ) -> None:
-            nonlocal pending, failed
-            pending -= 1
-            if error is not None:
-                position.change_number, position.state = position.change_number - 1, previous_state
-                failed = True
-                if not isinstance(error, StoreBusyError):
-                    log.error("message %s: the attempt was not recorded: %s", message_id, error)
-            if not pending:
-                done(not failed)
-
+        request = AttemptRequest(done)
         for message in messages:
             position = self.positions.get(message.id)
             if position is None or position.state not in (RecordState.ADMITTED, RecordState.WAITING):
@@ -351,15 +328,18 @@
             if position.mode is DurabilityMode.WRITE_BEHIND:
                 self.writer.put(change, urgent=False)
             else:
-                pending += 1
-                self.writer.put(change, partial(settle, message.id, position, previous_state), optional=True)
-        if not pending:
-            done(True)
+                request.add(self.writer, change, position, previous_state)
+        request.end_if_settled()
 
     def attempt_ended(self, message_id: str, result: str) -> None:
-        """Records that an attempt ended without a delivery."""
+        """Records that an attempt ended without a delivery.
+
+        If its start is not committed yet, both are recorded: the store may have the start already.
+        """
         position = self.positions.get(message_id)
         if position is not None and position.state is RecordState.IN_FLIGHT:
+            if position.attempt_start is not None:
+                position.attempt_start.withdraw()
             self._post(message_id, position, ChangeKind.END_ATTEMPT, result=result)
 
     def max_record_wait_s(self, message_id: str) -> float:
--- a/loftrelay/store/writer.py
+++ b/loftrelay/store/writer.py
@@ -9,14 +9,20 @@
 import contextlib
 import logging
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from functools import partial
 from typing import TypeVar
 
 from loftrelay.relay import fault_points
-from loftrelay.store.backend import CommitUncertainError, StoreBackend, StoreError, StoreUnusableError
+from loftrelay.store.backend import (
+    CommitUncertainError,
+    StoreBackend,
+    StoreError,
+    StoreUnavailableError,
+    StoreUnusableError,
+)
 from loftrelay.store.state_machine import Change, MessageRecord, RecordRuleError
 from loftrelay.tasks.supervision import run_isolated, start_supervised
 
@@ -25,6 +31,7 @@
 # Delay of a commit without urgent changes: changes of one message in the same commit are written as one row.
 COMMIT_DELAY_S = 0.05
 SLOW_COMMIT_S = 0.25  # a commit that takes this long is logged as slow
+MAX_COMMIT_S = 1.0  # a commit that takes longer makes the store unavailable until it ends
 MIN_BACKOFF_S = 0.05  # delay before an unavailable store is tried again; doubled after each failure
 MAX_BACKOFF_S = 2.0
 PROBED_IDS = ("",)  # no message has this id
@@ -123,8 +130,8 @@
         done: Callable[[Exception | None], None] | None = None,
         optional: bool = False,
         urgent: bool = True,
-    ) -> None:
-        """Queues a change for the next commit.
+    ) -> QueuedChange:
+        """Queues a change for the next commit; returns it, or the change that is rejected.
 
         Args:
             change: The change.
@@ -136,14 +143,16 @@
                 closes. Any other change stays queued.
             urgent: A caller waits for the commit.
         """
+        queued = QueuedChange(change, done, optional, urgent)
         if optional and (self.is_store_unavailable or self.is_closing or len(self.queue) >= self.max_queued):
             if done is not None:
                 asyncio.get_running_loop().call_soon(done, StoreBusyError(self.retry_after_ms))
-            return
-        self.queue.append(QueuedChange(change, done, optional, urgent))
+            return queued
+        self.queue.append(queued)
         self.has_work.set()
         if urgent or len(self.queue) >= self.max_changes_per_commit:
             self.has_urgent_work.set()
+        return queued
 
     def write(self, change: Change, optional: bool = False, urgent: bool = True) -> asyncio.Future[None]:
         """Queues a change as `put` does; returns a future with its result."""
@@ -288,7 +297,7 @@
         started_at = loop.time()
         changes = [item.change for item in group]
         try:
-            ids_in_use = await loop.run_in_executor(self.thread, self._commit, changes)
+            ids_in_use = await self._wait_for_commit(loop.run_in_executor(self.thread, self._commit, changes))
         except RecordRuleError:
             return await self._write_individually(group)
         except CommitUncertainError as error:
@@ -299,10 +308,8 @@
         except StoreError as error:
             self._mark_unavailable(error)
             await loop.run_in_executor(self.thread, self._close_store)
-            for item in (*group, *self.queue):
-                if item.optional:
-                    item.settle(StoreBusyError(self.retry_after_ms))
-            self.queue = deque(item for item in self.queue if not item.optional)
+            self._reject_optional(group)
+            self._reject_queued()
             return False
         self._mark_available()
         self._log_commit_duration(loop.time() - started_at)
@@ -312,6 +319,26 @@
             item.settle(IdInUseError(ids_in_use[index]) if index in ids_in_use else None)
         return True
 
+    async def _wait_for_commit(
+        self, commit: asyncio.Future[dict[int, MessageRecord]]
+    ) -> dict[int, MessageRecord]:
+        """Waits for a commit; one that hangs makes the store unavailable until it ends."""
+        done, _ = await asyncio.wait((commit,), timeout=MAX_COMMIT_S)
+        if not done:
+            self._mark_unavailable(StoreUnavailableError(f"a commit has taken {MAX_COMMIT_S:g} s so far"))
+            self._reject_queued()
+        return await commit
+
+    def _reject_queued(self) -> None:
+        """Rejects the queued changes whose step has not been taken."""
+        self._reject_optional(self.queue)
+        self.queue = deque(item for item in self.queue if not item.optional)
+
+    def _reject_optional(self, items: Iterable[QueuedChange]) -> None:
+        for item in items:
+            if item.optional:
+                item.settle(StoreBusyError(self.retry_after_ms))
+
     def _log_commit_duration(self, duration_s: float) -> None:
         """Logs when commits become slow and when they recover, which explains rejections and delays."""
         if self.is_store_slow != (duration_s >= SLOW_COMMIT_S):
