Store: a slow store's rejection comes while its client still waits

Cause: take_ms, the longest wait of an admission for the store, was 500 ms by default; clients close the connection after 400 ms and got no answer.

Measured: the new test, a client of 0.4 s beside a commit that hangs, fails before (no response) and passes now.

--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -105,7 +105,7 @@
         modes: Mapping[str, DurabilityMode],
         id_retention_us: int,
         record_retention_us: int | None = None,
-        max_store_wait_s: float = 0.5,
+        max_store_wait_s: float = 0.3,
     ) -> None:
         self.writer = writer
         self.instance = instance
--- a/loftrelay/store/settings.py
+++ b/loftrelay/store/settings.py
@@ -29,7 +29,7 @@
     Key("repeatable", "follows", "", "durability mode of all other classes", choices=MODES),
     Key(
         "take_ms",
-        500,
+        300,  # a client waits 400 ms for its response
         "ms",
         "for the store to commit a message of a required class; then the message is rejected",
         minimum=10,
--- a/tests/program/test_store_outage.py
+++ b/tests/program/test_store_outage.py
@@ -31,6 +31,7 @@
 REPORT_MARGIN_S = 0.35  # after the deadline of a message its report is due
 MESSAGE_TIME_S = 2.0
 SLOW_STORE_S = 8.0
+CLIENT_WAIT_S = 0.4  # of a client for its response
 ONE_CALL = {**SETTINGS["extra"], "call_slots": 1}
 ONE_ATTEMPT = {**SETTINGS["policy_limits"], "most_tries": 1}
 
@@ -204,6 +205,20 @@
     run_scenario(scenario, tmp_path, extra=ONE_CALL)
 
 
+def test_client_gets_its_rejection_while_it_waits_although_the_store_hangs(tmp_path: Path) -> None:
+    """By default it came after 0.5 s, when its client had gone."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, busy_ms="30000")
+        await harness.start_host(SlowHost(0.0).respond)
+        await harness.start()
+        with locked_store(path):
+            async with asyncio.timeout(CLIENT_WAIT_S):
+                assert await harness.submit("m", "order") == 503
+
+    run_scenario(scenario, tmp_path)
+
+
 def test_no_order_is_late_while_the_store_is_slow(tmp_path: Path) -> None:
     """Locks of 0.1 to 1.2 s, orders of 2 and 8 s."""
     rng = random.Random(5)
