Store: a planned restart beside an unavailable store ends in time and forgets nothing

Cause: Writer.close awaited the commit under way, the interpreter its thread.

A change that is given up at the end calls nobody back.

--- a/loftrelay/service/lifecycle.py
+++ b/loftrelay/service/lifecycle.py
@@ -39,6 +39,7 @@
 POLL_INTERVAL_S = 0.02  # between checks for unfinished work
 MAX_RESOLUTION_WAIT_S = 1.0  # wait at startup for the destinations of recovered messages
 MAX_REGISTRY_WAIT_S = 2.0  # wait at startup for a response of a registry
+MIN_STORE_CLOSE_S = 0.03  # for the store of record to close, also when no time is left
 MAX_CATCH_UP_S = 1.0  # wait at startup for reports of messages whose deadline has passed
 
 
@@ -143,8 +144,10 @@
             return
         engine, server = await self.startup(state)
         await self.should_exit.wait()
+        started_at = asyncio.get_running_loop().time()
+        schedule = shutdown_schedule(engine.context.settings.classes.values())
         await self.shutdown(engine, server)
-        await self._close(engine, state)
+        await self._close(engine, state, exit_at=started_at + schedule.exit)
 
     async def startup(self, state: OwnedState) -> tuple[Engine, HTTPServer]:
         """Starts the engine, reports overdue messages, and then listens for clients."""
@@ -173,7 +176,7 @@
         else:
             await self._finish_handover(engine, started_at)
 
-    async def _close(self, engine: Engine, state: OwnedState) -> None:
+    async def _close(self, engine: Engine, state: OwnedState, exit_at: float) -> None:
         messages = (
             f"{len(state.journal.messages)} messages in its journal" if self.owns_state else "no messages"
         )
@@ -186,7 +189,8 @@
         if self.admin_server is not None:
             self.admin_server.close()
         if self.recorder is not None:
-            await self.recorder.close()
+            time_left = exit_at - asyncio.get_running_loop().time()
+            await self.recorder.close(max(time_left, MIN_STORE_CLOSE_S))
         state.journal.close()
         state.lock.release()
 
--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -444,9 +444,14 @@
         final_status: StoredFinalStatus | None = None,
         urgent: bool = True,
     ) -> None:
-        """Queues a change; calls `done` once it is committed, or once it has failed, which is logged."""
+        """Queues a change; calls `done` once it is committed, or once the store has refused it for good.
+
+        If the writer closes first, `done` is not called: the journal keeps the message for the next start.
+        """
 
         def on_written(error: Exception | None) -> None:
+            if isinstance(error, StoreBusyError):
+                return
             if error is not None:
                 log.error("message %s: change %s was not recorded: %s", message_id, kind.value, error)
             done()
@@ -455,8 +460,8 @@
             self._change(message_id, position, kind, None, result, final_status), on_written, urgent=urgent
         )
 
-    async def close(self) -> None:
-        """Stops pruning and writes the queued changes."""
+    async def close(self, max_wait_s: float | None = None) -> None:
+        """Stops pruning and writes the queued changes, as `Writer.close`."""
         if self.pruner is not None:
             self.pruner.stop()
-        await self.writer.close()
+        await self.writer.close(max_wait_s)
--- a/loftrelay/store/writer.py
+++ b/loftrelay/store/writer.py
@@ -10,7 +10,6 @@
 import logging
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from functools import partial
 from typing import TypeVar
@@ -24,6 +23,7 @@
     StoreUnusableError,
 )
 from loftrelay.store.state_machine import Change, MessageRecord, RecordRuleError
+from loftrelay.store.worker_thread import WorkerThread
 from loftrelay.tasks.supervision import run_isolated, start_supervised
 
 log = logging.getLogger(__name__)
@@ -63,7 +63,7 @@
 
     Attributes:
         change: The change.
-        done: Called once with None or the error; None: an error is logged.
+        done: Called once with None or the error; None: an error is logged, unless the writer closes.
         optional: Whether it may be rejected while the store is unavailable: its step has not been taken yet.
         urgent: Whether a caller waits for the commit.
         settled: Whether `done` was called or the error logged.
@@ -83,7 +83,7 @@
         if self.done is not None:
             name = f"message {self.change.message_id}: processing of the recorded {self.change.kind.value}"
             run_isolated(partial(self.done, error), name)
-        elif error is not None:
+        elif error is not None and not isinstance(error, StoreBusyError):
             log.error(
                 "message %s: change %s was not recorded: %s",
                 self.change.message_id,
@@ -110,7 +110,7 @@
         self.open_store = open_store
         self.max_queued = max_queued
         self.max_changes_per_commit = max_changes_per_commit
-        self.thread = ThreadPoolExecutor(1, "record")
+        self.thread = WorkerThread("record")
         self.store: StoreBackend | None = None
         self.queue: deque[QueuedChange] = deque()
         self.has_work = asyncio.Event()
@@ -182,13 +182,20 @@
         """
         return await asyncio.get_running_loop().run_in_executor(self.thread, lambda: work(self._open()))
 
-    async def close(self) -> None:
-        """Writes the queued changes, without a retry if the store fails, and closes the store."""
+    async def close(self, max_wait_s: float | None = None) -> None:
+        """Writes the queued changes, without a retry if the store fails, and closes the store.
+
+        Args:
+            max_wait_s: How long that may take, in seconds; then the store is left as it is. None: no limit.
+        """
         self.is_closing = True
         self.has_work.set()
         self.has_urgent_work.set()
-        await self.task
-        self.thread.shutdown(wait=True)
+        done, _ = await asyncio.wait((self.task,), timeout=max_wait_s)
+        if not done:
+            log.warning("store of record: not closed, a call of it takes too long; the journal has the rest")
+            self.task.cancel()
+        self.thread.shutdown(wait=bool(done))
 
     # Runs in the thread
 
@@ -232,6 +239,8 @@
         await asyncio.get_running_loop().run_in_executor(self.thread, self._close_store)
         if self.commits:
             log.info("store of record closed: %d changes stored in %d commits", self.changes, self.commits)
+        if self.queue:
+            log.warning("store of record: %d changes are not stored, the journal has them", len(self.queue))
         for item in self.queue:
             item.settle(StoreBusyError(self.retry_after_ms))
 
--- a/tests/program/test_store_outage.py
+++ b/tests/program/test_store_outage.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -31,6 +32,7 @@
 REPORT_MARGIN_S = 0.35  # after the deadline of a message its report is due
 MESSAGE_TIME_S = 2.0
 SLOW_STORE_S = 8.0
+KILL_AFTER_S = 3.7  # from SIGTERM to the platform's SIGKILL
 CLIENT_WAIT_S = 0.4  # of a client for its response
 ONE_CALL = {**SETTINGS["extra"], "call_slots": 1}
 ONE_ATTEMPT = {**SETTINGS["policy_limits"], "most_tries": 1}
@@ -256,3 +258,30 @@
         check_agreement(harness, host, path, accepted)
 
     run_scenario(scenario, tmp_path, extra={**SETTINGS["extra"], "call_slots": 2})
+
+
+@pytest.mark.parametrize("busy_ms", ["50", "30000"], ids=["store fails", "store hangs"])
+def test_planned_restart_while_the_store_is_away_keeps_what_it_does_not_have(
+    tmp_path: Path, busy_ms: str
+) -> None:
+    """The journal completed messages that the store had refused; with a hanging commit the process stayed."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, busy_ms=busy_ms)
+        host = SlowHost(1.0)
+        await harness.start_host(host.respond)
+        await harness.start()
+        accepted = await submit_orders(harness, ["delivered", "reported"], message_time_s=1.5)
+        assert len(accepted) == 2
+        await harness.wait_until(lambda: "delivered" in host.begun_at)
+        with locked_store(path):
+            await harness.wait_until(lambda: harness.status_reports == [undeliverable_report("reported")])
+            signalled_at = time.time()
+            assert await harness.stop(signal.SIGTERM) == 0
+            assert time.time() - signalled_at < KILL_AFTER_S
+        await harness.start()
+        await wait_for_state(path, ["delivered", "reported"], RecordState.REPORTED)
+        check_agreement(harness, host, path, accepted)
+        assert host.delivered == ["delivered"]
+
+    run_scenario(scenario, tmp_path, extra=ONE_CALL)
--- a/tests/store/test_recorder.py
+++ b/tests/store/test_recorder.py
@@ -215,3 +215,25 @@
         )
 
     run_scenario(tmp_path, scenario)
+
+
+def test_close_with_unavailable_store_does_not_report_a_final_status_as_recorded(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It did: the journal dropped a delivered message, and the next start reported it as failed."""
+    clock = FakeClock(monkeypatch)
+
+    async def main() -> None:
+        store = FaultyStore(tmp_path / "r.sqlite")
+        recorder = Recorder(Writer(store.open), "n1", {"order": DurabilityMode.WRITE_AHEAD}, HOUR_US)
+        await admit(recorder, clock.make_message("m"))
+        approved: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        recorder.request_attempt([clock.make_message("m")], "h1", approved.set_result)
+        assert await approved
+        store.faults = ["unavailable"] * 9
+        recorded: list[str] = []
+        recorder.record_final_status("m", "delivered", "OK", lambda: recorded.append("m"))
+        await recorder.close()
+        assert recorded == []
+
+    asyncio.run(main())
