Store: a shutdown does not wait for records of a store that is known to be away

Change: records are waited for only while the store is available; closing it takes 1 s at the most and leaves 0.2 s for the exit.

--- a/loftrelay/relay/engine.py
+++ b/loftrelay/relay/engine.py
@@ -132,12 +132,13 @@
 
     @property
     def has_unfinished_work(self) -> bool:
-        """Whether a graceful shutdown still has to wait for a call, a report or the store."""
-        counts = self.context.message_states.counts
+        """Whether a graceful shutdown still has to wait for a call, a report or a store that is there."""
+        counts, store = self.context.message_states.counts, self.context.store
+        is_recording = any(counts[stage] for stage in RECORDING_STAGES)
         return bool(
             self.context.delivery.is_busy
             or self.context.status_reporter.pending
-            or any(counts[stage] for stage in RECORDING_STAGES)
+            or (is_recording and store is not None and not store.retry_after_ms)
         )
 
     def destination_resolved(self, destination: int, status: ResolutionStatus) -> None:
--- a/loftrelay/service/lifecycle.py
+++ b/loftrelay/service/lifecycle.py
@@ -39,7 +39,9 @@
 POLL_INTERVAL_S = 0.02  # between checks for unfinished work
 MAX_RESOLUTION_WAIT_S = 1.0  # wait at startup for the destinations of recovered messages
 MAX_REGISTRY_WAIT_S = 2.0  # wait at startup for a response of a registry
-MIN_STORE_CLOSE_S = 0.03  # for the store of record to close, also when no time is left
+# For the store of record to close, also when no time is left; its messages stay in the journal.
+MIN_STORE_CLOSE_S, MAX_STORE_CLOSE_S = 0.03, 1.0
+EXIT_MARGIN_S = 0.2  # for the interpreter to exit
 MAX_CATCH_UP_S = 1.0  # wait at startup for reports of messages whose deadline has passed
 
 
@@ -189,8 +191,8 @@
         if self.admin_server is not None:
             self.admin_server.close()
         if self.recorder is not None:
-            time_left = exit_at - asyncio.get_running_loop().time()
-            await self.recorder.close(max(time_left, MIN_STORE_CLOSE_S))
+            time_left = exit_at - EXIT_MARGIN_S - asyncio.get_running_loop().time()
+            await self.recorder.close(min(max(time_left, MIN_STORE_CLOSE_S), MAX_STORE_CLOSE_S))
         state.journal.close()
         state.lock.release()
 
