Store: a start that waits for the store of record reports what ends, and ends on SIGTERM

Cause: RelayProcess awaited the store before the reports existed, and did not look at the request to stop.

--- a/loftrelay/service/lifecycle.py
+++ b/loftrelay/service/lifecycle.py
@@ -6,8 +6,9 @@
 import logging
 import os
 import sys
+from collections.abc import Coroutine
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from loftrelay.config.platform import Config
 from loftrelay.delivery.connection_pool.settings import PoolSettings
@@ -35,6 +36,7 @@
     from loftrelay.store.settings import StoreSettings
 
 log = logging.getLogger("loftrelay")
+T = TypeVar("T")
 
 POLL_INTERVAL_S = 0.02  # between checks for unfinished work
 MAX_RESOLUTION_WAIT_S = 1.0  # wait at startup for the destinations of recovered messages
@@ -46,7 +48,7 @@
 
 
 class StoppedBeforeServingError(Exception):
-    """The process was requested to stop before it owned the state."""
+    """The process was requested to stop before it served."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,9 +144,10 @@
         await self._open_admin_server()
         try:
             state = await self._acquire_state()
+            engine, server = await self.startup(state)
         except StoppedBeforeServingError:
+            log.info("%s exits before it has served", self.config.name)
             return
-        engine, server = await self.startup(state)
         await self.should_exit.wait()
         started_at = asyncio.get_running_loop().time()
         schedule = shutdown_schedule(engine.context.settings.classes.values())
@@ -219,18 +222,24 @@
                 raise OSError(f"another process of this relay holds the lock of {config.state_dir}")
             return OwnedState(lock, Journal(config.state_dir, config.journal_bytes), None)
         receiver = HandoverReceiver(config.state_dir, config.journal_bytes, config.seed)
-        journal = await self._acquire_unless_stopped(receiver)
+        journal = await self._unless_stopped(receiver.acquire())
         assert receiver.lock is not None
         return OwnedState(receiver.lock, journal, receiver)
 
-    async def _acquire_unless_stopped(self, receiver: HandoverReceiver) -> Journal:
-        acquired = asyncio.ensure_future(receiver.acquire())
+    async def _unless_stopped(self, step: Coroutine[Any, Any, T]) -> T:
+        """Runs a step of the startup; cancels it if the process is requested to stop.
+
+        Raises:
+            StoppedBeforeServingError: The process was requested to stop.
+        """
+        running = asyncio.ensure_future(step)
         stopped = asyncio.ensure_future(self.should_exit.wait())
-        await asyncio.wait((acquired, stopped), return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait((running, stopped), return_when=asyncio.FIRST_COMPLETED)
         stopped.cancel()
-        if acquired.done():
-            return acquired.result()
-        acquired.cancel()
+        if running.done():
+            return running.result()
+        running.cancel()
+        await asyncio.wait((running,))
         raise StoppedBeforeServingError
 
     async def _start_engine(self, state: OwnedState) -> Engine:
@@ -254,7 +263,8 @@
         from loftrelay.store.backend import StoreError
 
         try:
-            self.recorder = await open_store(self.config, self.store_settings, journal)
+            opening = open_store(self.config, self.store_settings, journal)
+            self.recorder = await self._unless_stopped(opening)
         except StoreError as error:
             raise OSError(str(error)) from error
 
--- a/loftrelay/service/store_setup.py
+++ b/loftrelay/service/store_setup.py
@@ -8,6 +8,7 @@
 from loftrelay.config.platform import Config
 from loftrelay.decisions.settings import DeliverySemantics, RelaySettings
 from loftrelay.journal.journal import Journal
+from loftrelay.service.startup_reports import StartupReports
 from loftrelay.store.backend import StoreUnavailableError
 from loftrelay.store.factory import store_opener
 from loftrelay.store.recorder import Recorder
@@ -17,6 +18,7 @@
 
 log = logging.getLogger(__name__)
 
+MAX_CLOSE_S = 0.5  # for the store to close if the start is given up
 RETRY_INTERVAL_S = 0.5  # between attempts to open a store that is unavailable at startup
 
 
@@ -34,6 +36,8 @@
 async def open_store(config: Config, store_settings: StoreSettings, journal: Journal) -> Recorder:
     """Opens the store of record and reads it; retries while the store is unavailable.
 
+    Meanwhile messages of the journal that end are reported, so that a start costs no report its time.
+
     Args:
         config: Configuration of the relay.
         store_settings: Operator's settings of the store.
@@ -56,14 +60,23 @@
         store_settings.record_retention_us,
         store_settings.max_store_wait_s,
     )
+    reports = StartupReports(journal, config.discovery)
+    try:
+        await _load_when_available(recorder, list(journal.messages))
+    except BaseException:
+        await recorder.close(MAX_CLOSE_S)
+        raise
+    finally:
+        reports.close()
+    return recorder
+
+
+async def _load_when_available(recorder: Recorder, message_ids: list[str]) -> None:
     while True:
         try:
-            await recorder.load(list(journal.messages))
+            await recorder.load(message_ids)
         except StoreUnavailableError as error:
             log.warning("relay waits for its store of record: %s; retrying in %g s", error, RETRY_INTERVAL_S)
             await asyncio.sleep(RETRY_INTERVAL_S)
-        except BaseException:
-            await recorder.close()
-            raise
         else:
-            return recorder
+            return
--- a/tests/program/test_store_outage.py
+++ b/tests/program/test_store_outage.py
@@ -9,6 +9,7 @@
 import contextlib
 import random
 import signal
+import sqlite3
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -285,3 +286,51 @@
         assert host.delivered == ["delivered"]
 
     run_scenario(scenario, tmp_path, extra=ONE_CALL)
+
+
+async def start_beside_locked_store(harness: RelayHarness, path: Path) -> sqlite3.Connection:
+    """Kills the relay, locks the store against any use, and starts the relay, which waits for it."""
+    await harness.kill()
+    lock = sqlite3.connect(path, isolation_level=None)
+    lock.execute("PRAGMA locking_mode=EXCLUSIVE")
+    lock.execute("BEGIN EXCLUSIVE")
+    harness.process = await harness.spawn()
+    return lock
+
+
+@pytest.mark.parametrize("busy_ms", ["50", "30000"], ids=["store fails", "store hangs"])
+def test_start_while_the_store_is_away_reports_what_ends_meanwhile(tmp_path: Path, busy_ms: str) -> None:
+    """Nothing was reported until the store was back."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, busy_ms=busy_ms)
+        host = SlowHost(0.5)
+        await harness.start_host(host.respond)
+        await harness.start()
+        accepted = await submit_orders(harness, ["in-flight", "waits", "waits-too"], message_time_s=4.0)
+        await harness.wait_until(lambda: "in-flight" in host.begun_at)
+        lock = await start_beside_locked_store(harness, path)
+        await asyncio.sleep(4.0 + REPORT_MARGIN_S)
+        assert late_messages(harness, host, accepted) == []
+        lock.close()
+        await harness.wait_until(lambda: any("listens on" in line for line in harness.log))
+        await wait_for_state(path, [submission.name for submission in accepted], RecordState.REPORTED)
+        check_agreement(harness, host, path, accepted)
+
+    run_scenario(scenario, tmp_path, extra=ONE_CALL)
+
+
+def test_start_that_waits_for_its_store_ends_on_sigterm(tmp_path: Path) -> None:
+    """The signal was not looked at before the store was back."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, busy_ms="30000")
+        await harness.start_host(SlowHost(0.0).respond)
+        await harness.start()
+        lock = await start_beside_locked_store(harness, path)
+        await asyncio.sleep(1.0)
+        async with asyncio.timeout(KILL_AFTER_S):
+            assert await harness.stop(signal.SIGTERM) == 0
+        lock.close()
+
+    run_scenario(scenario, tmp_path)
