Store: a disputed delivery is failed in the record too, and its report does not wait

Cause: a record had no step behind a delivery, so that the store kept "delivered" beside a report of "undeliverable"; dispute_when_recorded let the report wait for the record of the delivery.

--- a/loftrelay/relay/fault_points.py
+++ b/loftrelay/relay/fault_points.py
@@ -41,12 +41,21 @@
     "told unrecorded",  # the platform has acknowledged the report; the journal does not say so yet
     "journal told",  # the journal says so
 )
+# A message whose recorded delivery turns out to be doubtful also passes these:
+DISPUTE_POINTS = ("commit dispute", "committed dispute")
 
 # Fault points of a handover, in order:
 PREDECESSOR_POINTS = ("frozen", "told state", "giving", "given", "handed over")
 SUCCESSOR_POINTS = ("loaded", "yours", "taken over")
 
-ALL_POINTS = DELIVERY_POINTS + FINAL_STATUS_POINTS + UNRECORDED_POINTS + PREDECESSOR_POINTS + SUCCESSOR_POINTS
+ALL_POINTS = (
+    *DELIVERY_POINTS,
+    *FINAL_STATUS_POINTS,
+    *UNRECORDED_POINTS,
+    *DISPUTE_POINTS,
+    *PREDECESSOR_POINTS,
+    *SUCCESSOR_POINTS,
+)
 
 listener: Callable[[str], None] | None = None
 
--- a/loftrelay/relay/final_statuses.py
+++ b/loftrelay/relay/final_statuses.py
@@ -59,7 +59,6 @@
     def __init__(self, context: RelayContext) -> None:
         self.context = context
         self.counted_messages: set[str] = set()  # opened again after their delivery, which was counted
-        self._disputed_while_recording: dict[str, Message] = {}
 
     def end(self, message_id: str, status: int, retry_after_ms: int) -> None:
         """Ends a message that is not delivered.
@@ -133,10 +132,19 @@
     def _record(
         self, store: MessageStore, message_id: str, stored_status: str, step: Callable[[bool], None]
     ) -> None:
-        """Records a final status; calls `step` with whether the store has it, at the latest at the limit."""
+        record = partial(store.record_final_status, message_id, stored_status, None)
+        self._wait_for_record(store, message_id, record, step)
+
+    def _wait_for_record(
+        self,
+        store: MessageStore,
+        message_id: str,
+        record: Callable[[Callable[[], None]], None],
+        step: Callable[[bool], None],
+    ) -> None:
+        """Calls `record`, then `step` with whether the store has the record, at the latest at the limit."""
         wait = RecordWait(step)
-        done = partial(self._recorded, store, message_id, wait)
-        store.record_final_status(message_id, stored_status, None, done)
+        record(partial(self._recorded, store, message_id, wait))
         wait.limit(store.max_record_wait_s(message_id))
 
     def _recorded(self, store: MessageStore, message_id: str, wait: RecordWait) -> None:
@@ -211,19 +219,26 @@
     def _delivery_recorded(self, message_id: str, remembered_status: int) -> None:
         context = self.context
         assert context.store is not None
+        if context.message_states.stage(message_id) is not Stage.RECORDING_DELIVERY:
+            return  # it was disputed meanwhile
         context.message_states.complete(message_id)
         context.journal.complete(message_id, remembered_status)
         fault_point("journal over")
         context.store.final_status_reported(message_id)
-        if (message := self._disputed_while_recording.pop(message_id, None)) is not None:
-            self.counted_messages.add(message_id)
-            context.journal.reopen(message)
-            context.message_states.enqueue(message_id)
-            self.end(message_id, FAILED, 0)
-
-    def dispute_when_recorded(self, message: Message) -> None:
-        """Ends a delivered message as failed once the store has recorded its delivery, which is doubtful."""
-        self._disputed_while_recording[message.id] = message
+
+    def fail_disputed(self, message_id: str) -> None:
+        """Ends a delivered message as failed, as its delivery is doubtful. The journal has it as open."""
+        context = self.context
+        final_status = final_status_record(FAILED, 0)
+        self.counted_messages.add(message_id)
+        context.journal.record_final_status(message_id, final_status)
+        fault_point("journal notice")
+        if context.store is None:
+            self.report(message_id, final_status)
+            return
+        context.message_states.begin_recording_final_status(message_id, final_status)
+        dispute = partial(context.store.dispute_delivery, message_id)
+        self._wait_for_record(context.store, message_id, dispute, partial(self._begin_reporting, message_id))
 
     def _count(self, message: Message, final_status: FinalStatus) -> None:
         """Counts the end of a message, once."""
--- a/loftrelay/relay/message_state.py
+++ b/loftrelay/relay/message_state.py
@@ -9,7 +9,9 @@
 
     submitted --> STORING --> AWAITING_BATCH --> WAITING <--> IN_FLIGHT
                                     |               |
-                                    v               +--> RECORDING_DELIVERY --> complete
+                                    |               +--> RECORDING_DELIVERY --> complete
+                                    |               |            | its delivery is disputed
+                                    v               |            v
                                RESPONDING           +--> RECORDING_FINAL_STATUS --> REPORTING --> complete
                                  |     |            +--> REPORTING --> complete       (without a store)
                                  v     v
@@ -73,7 +75,7 @@
     Stage.IN_FLIGHT: frozenset({Stage.WAITING}),  # a message can't complete while its call is in flight
     Stage.IN_FLIGHT_AT_PREDECESSOR: frozenset({Stage.WAITING, None}),
     Stage.RESPONDING: frozenset({Stage.RECORDING_REPORTED, None}),
-    Stage.RECORDING_DELIVERY: frozenset({None}),
+    Stage.RECORDING_DELIVERY: frozenset({Stage.RECORDING_FINAL_STATUS, None}),  # disputed, or recorded
     Stage.RECORDING_FINAL_STATUS: frozenset({Stage.REPORTING}),
     Stage.REPORTING: frozenset({Stage.RECORDING_REPORTED, None}),
     Stage.RECORDING_REPORTED: frozenset({None}),
--- a/loftrelay/relay/ports.py
+++ b/loftrelay/relay/ports.py
@@ -150,6 +150,9 @@
             done: called without arguments, immediately or later.
         """
 
+    def dispute_delivery(self, message_id: str, done: Callable[[], None]) -> None:
+        """Records that a message has failed whose delivery is, or will be, recorded; then calls `done`."""
+
     def max_record_wait_s(self, message_id: str) -> float:
         """Returns how long a final status may wait for its record before it is reported without, in s."""
 
--- a/loftrelay/relay/recovery.py
+++ b/loftrelay/relay/recovery.py
@@ -22,7 +22,6 @@
     DELIVERED,
     FAILED,
     STATUS_DELIVERED,
-    STATUS_FAILED,
     STORED_DELIVERED,
     STORED_FAILED,
     final_status_from_stored,
@@ -121,8 +120,6 @@
             return not has_report
         stored_status = store.stored_final_status(message.id)
         action = store.recover(message, message.id, not is_repeatable(message.packed_terms))
-        if action is RecoveryAction.COMPLETE and _is_disputed_delivery(message, stored_status):
-            return True  # its report is still due
         if action in (RecoveryAction.COMPLETE, RecoveryAction.DISCARD):
             self._drop_completed(message, stored_status)
             return False
@@ -130,7 +127,7 @@
             stored_status = STORED_DELIVERED
         final_status = message.final_status
         is_delivered = final_status is not None and final_status["status"] == STATUS_DELIVERED
-        if is_delivered or stored_status == STORED_DELIVERED:
+        if is_delivered or (final_status is None and stored_status == STORED_DELIVERED):
             self.final_statuses.message_delivered(message)
             return False
         if action is RecoveryAction.REPORT_AGAIN and message.final_status is None:
@@ -164,10 +161,3 @@
             store.final_status_reported(message_id)
         else:
             self.final_statuses.report(message_id, final_status_from_stored(stored_status))
-
-
-def _is_disputed_delivery(message: Message, stored_status: str | None) -> bool:
-    """Returns whether a message has failed after the store had recorded its delivery (see redelivery)."""
-    final_status = message.final_status
-    has_failed = final_status is not None and final_status["status"] == STATUS_FAILED
-    return has_failed and stored_status == STORED_DELIVERED
--- a/loftrelay/relay/redelivery.py
+++ b/loftrelay/relay/redelivery.py
@@ -11,7 +11,6 @@
 from loftrelay.relay.message_state import Stage
 from loftrelay.relay.message_terms import is_repeatable
 from loftrelay.relay.ports import DisputedDelivery
-from loftrelay.relay.statuses import FAILED
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +33,7 @@
             context.outcome_forwarder.delivery_disputed(delivery)
             return
         if context.message_states.stage(message.id) is Stage.RECORDING_DELIVERY:
-            self.final_statuses.dispute_when_recorded(message)
+            self._fail(message.id)
             return
         if message.id in context.journal.messages:
             return
@@ -43,15 +42,18 @@
             log.warning("message %s: its delivery is doubtful, sending it again", message.id)
             context.post(recovery_event(message, wall_clock()))
         else:
-            log.warning("message %s: its delivery is doubtful, ending it as failed", message.id)
-            self.final_statuses.end(message.id, FAILED, 0)
+            self._fail(message.id)
+
+    def _fail(self, message_id: str) -> None:
+        log.warning("message %s: its delivery is doubtful, ending it as failed", message_id)
+        self.final_statuses.fail_disputed(message_id)
 
     def _can_send_again(self, delivery: DisputedDelivery) -> bool:
         message = delivery.message
         if message.ordering_key is not None:
             return False  # later messages of its key may have been sent already
         if self.context.store is not None:
-            return False  # its record says that it is delivered, which is final
+            return False  # its record may be complete, and then takes no further attempt
         return delivery.has_body and is_repeatable(message.packed_terms)
 
     def _reopen(self, delivery: DisputedDelivery) -> None:
--- a/loftrelay/store/attempt_request.py
+++ b/loftrelay/store/attempt_request.py
@@ -20,6 +20,7 @@
     admission_number: int = 1
     change_number: int = 0
     state: RecordState | None = None  # None: nothing is recorded yet
+    is_delivered: bool = False  # its final status is a delivery
     attempt_start: AttemptStart | None = None  # set until it is committed, rejected or withdrawn
 
 
--- a/loftrelay/store/group_commit.py
+++ b/loftrelay/store/group_commit.py
@@ -76,10 +76,7 @@
         after = state_machine.apply(record, change)
         group.before.setdefault(change.message_id, stored)
         group.after[change.message_id] = after
-        has_attempt = (
-            change.kind in (ChangeKind.BEGIN_ATTEMPT, ChangeKind.END_ATTEMPT, ChangeKind.DECIDE)
-            and after.attempts
-        )
+        has_attempt = change.kind not in (ChangeKind.ADMIT, ChangeKind.REPORT) and after.attempts
         if has_attempt:
             group.attempts[change.message_id, after.admission_number, after.attempts] = AttemptRow(
                 change.message_id,
--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -10,15 +10,15 @@
 import hashlib
 import logging
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
 from functools import partial
 
 from loftrelay.relay.clock import wall_clock
 from loftrelay.relay.message import Message
 from loftrelay.relay.ports import RecoveryAction
 from loftrelay.store import state_machine
+from loftrelay.store.admission import AdmissionDecision
 from loftrelay.store.attempt_request import AttemptRequest, RecordPosition
-from loftrelay.store.backend import RecordQuery, StoreBackend
+from loftrelay.store.backend import RecordQuery, StoreBackend, StoreError
 from loftrelay.store.pruning import Pruner
 from loftrelay.store.state_machine import (
     Change,
@@ -32,37 +32,13 @@
     StoredFinalStatus,
 )
 from loftrelay.store.writer import IdInUseError, StoreBusyError, Writer
+from loftrelay.tasks.supervision import start_watched
 
 log = logging.getLogger(__name__)
 
 MIN_RETRY_AFTER_MS = 1_000  # of a rejection while the store is slow
+READ_RETRY_INTERVAL_S = 0.5  # of a record while the store is unavailable
 MAX_RECORD_WAIT_S = 0.1  # of a final status for its record; its report is due 0.3 s after the deadline
-# HTTP status of the response to a submission, by the status of its message id; 0: the message is new.
-HTTP_STATUSES = {
-    MessageIdStatus.NEW: 0,
-    MessageIdStatus.IN_PROGRESS: 202,
-    MessageIdStatus.DELIVERED: 200,
-    MessageIdStatus.FAILED: 500,
-    MessageIdStatus.REJECTED: 503,
-}
-
-
-@dataclass(slots=True)
-class AdmissionDecision:
-    """Result of an admission to the store.
-
-    Attributes:
-        id_status: NEW if the message is stored, or if `retry_after_ms` is set.
-        retry_after_ms: Rejected: when the client may submit the message again; 0: not rejected by the store.
-    """
-
-    id_status: MessageIdStatus = MessageIdStatus.NEW
-    retry_after_ms: int = 0
-
-    @property
-    def status(self) -> int:
-        """HTTP status of the response if the id is known; 0 if it is new."""
-        return HTTP_STATUSES[self.id_status]
 
 
 def journal_state(message: Message) -> JournalState:
@@ -77,6 +53,13 @@
     return JournalState.NOT_EXECUTED if message.attempts else JournalState.ADMITTED
 
 
+def _position_of(record: MessageRecord | None, mode: DurabilityMode) -> RecordPosition:
+    if record is None:
+        return RecordPosition(mode)
+    is_delivered = record.final_status is StoredFinalStatus.DELIVERED
+    return RecordPosition(mode, record.admission_number, record.change_number, record.state, is_delivered)
+
+
 def _ignore(decision: AdmissionDecision) -> None:
     """Ignores the result of an admission that no caller waits for."""
     del decision
@@ -158,16 +141,12 @@
         mode = self.modes.get(class_name, DurabilityMode.WRITE_AHEAD)
         journal = JournalState.ABSENT if message is None else journal_state(message)
         action = state_machine.reconcile(journal, record, is_at_most_once, mode)
+        if journal is JournalState.DECIDED and record is not None and self._is_delivered_elsewhere(record):
+            action = RecoveryAction.COMPLETE
         if action in (RecoveryAction.COMPLETE, RecoveryAction.DISCARD):
             return action
-        position = self.positions[message_id] = RecordPosition(mode)
-        if record is not None:
-            position.admission_number, position.change_number, position.state = (
-                record.admission_number,
-                record.change_number,
-                record.state,
-            )
-        elif message is not None:
+        position = self.positions[message_id] = _position_of(record, mode)
+        if record is None and message is not None:
             self._record_admission(message, position, 1, _ignore, optional=False)
             if message.attempts:  # one attempt, with what the journal has of it
                 self._post(
@@ -185,6 +164,11 @@
             self.attempt_ended(message_id, "BROKEN")
         return action
 
+    def _is_delivered_elsewhere(self, record: MessageRecord) -> bool:
+        """Whether another instance has delivered the message, under the id of one that failed here."""
+        is_delivered = record.final_status is StoredFinalStatus.DELIVERED
+        return is_delivered and record.metadata.instance != self.instance
+
     def stored_final_status(self, message_id: str) -> str | None:
         """Returns the final status of a message in the store at the start, or None."""
         record = self.records_at_start.get(message_id)
@@ -368,14 +352,19 @@
         ):
             # The start of the attempt was lost with the queue of a WRITE_BEHIND class.
             self._post(message_id, position, ChangeKind.BEGIN_ATTEMPT)
+        urgent = position.mode is DurabilityMode.WRITE_AHEAD
+        if position.is_delivered and final_status is StoredFinalStatus.FAILED:
+            position.is_delivered = False
+            self._write(message_id, position, ChangeKind.DISPUTE, done, urgent=urgent)
+            return
         if position.state in (RecordState.DECIDED, RecordState.REPORTED, None):
             done()
             return
-        urgent = position.mode is DurabilityMode.WRITE_AHEAD
         if final_status is StoredFinalStatus.DELIVERED:
             # A delivery is not reported to anybody, so it is recorded as reported, mostly in the same commit.
             self._post(message_id, position, ChangeKind.DECIDE, final_status=final_status, result=result)
             self._write(message_id, position, ChangeKind.REPORT, done, urgent=urgent)
+            position.is_delivered = True
         else:
             self._write(
                 message_id,
@@ -387,6 +376,33 @@
                 urgent=urgent,
             )
 
+    def dispute_delivery(self, message_id: str, done: Callable[[], None]) -> None:
+        """Records that a delivered message has failed; calls `done` after the commit.
+
+        Its record may be complete, and is then read first.
+        """
+        if message_id in self.positions:
+            self.record_final_status(message_id, StoredFinalStatus.FAILED.value, None, done)
+        else:
+            dispute = self._dispute_complete_record(message_id, done)
+            start_watched(dispute, f"message {message_id}: dispute of its recorded delivery")
+
+    async def _dispute_complete_record(self, message_id: str, done: Callable[[], None]) -> None:
+        record = await self._read_when_available(message_id)
+        if record is not None:
+            mode = self.modes.get(record.metadata.class_name, DurabilityMode.WRITE_AHEAD)
+            self.positions[message_id] = _position_of(record, mode)
+        self.record_final_status(message_id, StoredFinalStatus.FAILED.value, None, done)
+
+    async def _read_when_available(self, message_id: str) -> MessageRecord | None:
+        while True:
+            try:
+                records = await self.writer.call(lambda store: store.read([message_id]))
+            except StoreError:
+                await asyncio.sleep(READ_RETRY_INTERVAL_S)
+            else:
+                return records.get(message_id)
+
     def final_status_reported(self, message_id: str, done: Callable[[], None] | None = None) -> None:
         """Records that the final status of a message was reported; calls `done` after the commit.
 
--- a/loftrelay/store/state_machine.py
+++ b/loftrelay/store/state_machine.py
@@ -46,6 +46,7 @@
     END_ATTEMPT = "outcome"
     DECIDE = "end"
     REPORT = "told"
+    DISPUTE = "dispute"  # a recorded delivery is doubtful: the message has failed, which is to be reported
 
 
 class DurabilityMode(Enum):
@@ -60,6 +61,7 @@
     ChangeKind.END_ATTEMPT: (RecordState.IN_FLIGHT,),
     ChangeKind.DECIDE: (RecordState.ADMITTED, RecordState.IN_FLIGHT, RecordState.WAITING),
     ChangeKind.REPORT: (RecordState.DECIDED,),
+    ChangeKind.DISPUTE: (RecordState.DECIDED, RecordState.REPORTED),
 }
 STATE_AFTER: Mapping[ChangeKind, RecordState] = {
     ChangeKind.ADMIT: RecordState.ADMITTED,
@@ -67,7 +69,9 @@
     ChangeKind.END_ATTEMPT: RecordState.WAITING,
     ChangeKind.DECIDE: RecordState.DECIDED,
     ChangeKind.REPORT: RecordState.REPORTED,
+    ChangeKind.DISPUTE: RecordState.DECIDED,
 }
+DISPUTED_RESULT = "DISPUTED"  # result of the last attempt of a message whose delivery is doubtful
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,6 +187,8 @@
         )
     if change.kind is ChangeKind.DECIDE and change.final_status is None:
         raise RecordRuleError(f"{change.message_id}: change {change.kind.value!r} without a final status")
+    if change.kind is ChangeKind.DISPUTE and record.final_status is not StoredFinalStatus.DELIVERED:
+        raise RecordRuleError(f"{change.message_id}: a dispute of a message that is not delivered")
     if change.final_status is StoredFinalStatus.DELIVERED and record.state is not RecordState.IN_FLIGHT:
         raise RecordRuleError(f"{change.message_id}: delivered without an attempt in flight")
 
@@ -200,6 +206,9 @@
         final_status, decided_at = change.final_status, change.at
     elif change.kind is ChangeKind.REPORT:
         reported_at = change.at
+    elif change.kind is ChangeKind.DISPUTE:
+        result, result_at = DISPUTED_RESULT, change.at
+        final_status, decided_at, reported_at = StoredFinalStatus.FAILED, change.at, None
     # Constructed field by field: dataclasses.replace would take a large part of the time of a commit.
     return MessageRecord(
         record.message_id,
@@ -354,25 +363,11 @@
         mode: Durability mode of its class.
     """
     if journal_state is JournalState.ABSENT:
-        if record is None or record.state in (RecordState.REPORTED,):
-            return RecoveryAction.COMPLETE
-        if record.state is RecordState.DECIDED:
-            return (
-                RecoveryAction.REPORT_AGAIN
-                if record.final_status is not StoredFinalStatus.DELIVERED
-                else RecoveryAction.UPDATE_STORE
-            )
-        return RecoveryAction.FAIL  # the journal is lost, so it is unknown whether the message ran
+        return _reconcile_record(record)
     if record is None:
-        if mode is DurabilityMode.WRITE_AHEAD and journal_state is JournalState.ADMITTED:
-            return RecoveryAction.DISCARD  # never committed, so the client was never told that it is admitted
-        if is_at_most_once and journal_state in (JournalState.IN_FLIGHT, JournalState.MAY_HAVE_RUN):
-            return RecoveryAction.FAIL
-        return (
-            RecoveryAction.UPDATE_STORE
-            if journal_state in (JournalState.DELIVERED, JournalState.DECIDED)
-            else RecoveryAction.RESUME
-        )
+        return _reconcile_journal(journal_state, is_at_most_once, mode)
+    if record.final_status is StoredFinalStatus.DELIVERED and journal_state is JournalState.DECIDED:
+        return RecoveryAction.UPDATE_STORE  # its delivery was disputed
     if record.state is RecordState.REPORTED:
         return RecoveryAction.COMPLETE  # reported; the journal entry was not completed yet
     if record.state is RecordState.DECIDED:
@@ -388,3 +383,31 @@
         or record.state is RecordState.IN_FLIGHT
     )
     return RecoveryAction.FAIL if is_at_most_once and may_have_run else RecoveryAction.RESUME
+
+
+def _reconcile_record(record: MessageRecord | None) -> RecoveryAction:
+    """Returns what a start does with a message that the journal does not have."""
+    if record is None or record.state is RecordState.REPORTED:
+        return RecoveryAction.COMPLETE
+    if record.state is not RecordState.DECIDED:
+        return RecoveryAction.FAIL  # the journal is lost, so it is unknown whether the message ran
+    return (
+        RecoveryAction.UPDATE_STORE
+        if record.final_status is StoredFinalStatus.DELIVERED
+        else RecoveryAction.REPORT_AGAIN
+    )
+
+
+def _reconcile_journal(
+    journal_state: JournalState, is_at_most_once: bool, mode: DurabilityMode
+) -> RecoveryAction:
+    """Returns what a start does with a message that the store does not have."""
+    if mode is DurabilityMode.WRITE_AHEAD and journal_state is JournalState.ADMITTED:
+        return RecoveryAction.DISCARD  # never committed, so the client was never told that it is admitted
+    if is_at_most_once and journal_state in (JournalState.IN_FLIGHT, JournalState.MAY_HAVE_RUN):
+        return RecoveryAction.FAIL
+    return (
+        RecoveryAction.UPDATE_STORE
+        if journal_state in (JournalState.DELIVERED, JournalState.DECIDED)
+        else RecoveryAction.RESUME
+    )
--- a/tests/program/test_disputed_deliveries.py
+++ b/tests/program/test_disputed_deliveries.py
@@ -9,12 +9,14 @@
 
 import pytest
 
-from loftrelay.store.state_machine import RecordState
-from tests.program.test_record import configure_store, wait_for_state
+from loftrelay.relay.fault_points import DISPUTE_POINTS
+from loftrelay.store.state_machine import DISPUTED_RESULT, RecordState, StoredFinalStatus
+from tests.program.test_record import configure_store, read_records, wait_for_state
 from tests.program.test_upgrade import run_with_shared_listener
 from tests.standins.harness import (
     DEDUPLICATED_CLASS,
     SETTINGS,
+    TEST_TIMEOUT_S,
     RelayHarness,
     Request,
     StubServer,
@@ -23,6 +25,7 @@
     run_scenario,
     undeliverable_report,
 )
+from tests.standins.store_lock import locked_store
 
 CLASSES = [*SETTINGS["classes"], DEDUPLICATED_CLASS]
 RESPONSE_S = 0.11  # of the host, from a request to its true response
@@ -154,6 +157,76 @@
     run_with_shared_listener(scenario, tmp_path)
 
 
+@pytest.mark.parametrize("mode", ["required", "follows"])
+def test_disputed_delivery_is_failed_in_the_store_too(tmp_path: Path, mode: str) -> None:
+    """The store kept "delivered", which the report to the platform contradicts."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, repeatable=f'"{mode}"')
+        host = DuplicatingHost()
+        await start_host(harness, host)
+        await harness.start()
+        await submit_both(harness, host, "status")
+        await harness.wait_until(lambda: harness.status_reports == [undeliverable_report("second")])
+        await wait_for_final_status(path, "second", StoredFinalStatus.FAILED)
+        record = (await wait_for_state(path, ["second"], RecordState.REPORTED))["second"]
+        assert (record.attempts, record.result) == (1, DISPUTED_RESULT)
+        if mode == "required":  # in the other mode a new submission does not ask the store
+            assert await harness.submit("second", "status") == 500
+
+    run_scenario(scenario, tmp_path, classes=CLASSES)
+
+
+@pytest.mark.parametrize("mode", ["required", "follows"])
+def test_disputed_delivery_is_reported_while_the_store_is_away(tmp_path: Path, mode: str) -> None:
+    """Its report waited for the record of the delivery, and so for the store."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, repeatable=f'"{mode}"')
+        host = DuplicatingHost()
+        await start_host(harness, host)
+        await harness.start()
+        await submit_both(harness, host, "status")
+        with locked_store(path):
+            await harness.wait_until(lambda: harness.status_reports == [undeliverable_report("second")])
+        await wait_for_final_status(path, "second", StoredFinalStatus.FAILED)
+        assert harness.status_reports == [undeliverable_report("second")]
+
+    run_scenario(scenario, tmp_path, classes=CLASSES)
+
+
+@pytest.mark.parametrize("fault_point", DISPUTE_POINTS, ids=lambda point: point.replace(" ", "-"))
+def test_disputed_delivery_is_failed_in_the_store_after_a_kill(tmp_path: Path, fault_point: str) -> None:
+    async def scenario(harness: RelayHarness) -> None:
+        path = configure_store(harness, repeatable='"required"')
+        host = DuplicatingHost()
+        await start_host(harness, host)
+        program = harness.program
+        harness.program = ["-m", "tests.standins.killed", fault_point]
+        await harness.start()
+        await submit_both(harness, host, "status")
+        assert harness.process is not None
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await harness.process.wait() == -9  # the fault point was reached
+        harness.program = program
+        await harness.start()
+        await wait_for_final_status(path, "second", StoredFinalStatus.FAILED)
+        assert {report["status"] for report in harness.status_reports} == {"undeliverable"}
+        assert host.attempts.count("second") == 1
+
+    run_scenario(scenario, tmp_path, classes=CLASSES)
+
+
+async def wait_for_final_status(path: Path, name: str, final_status: StoredFinalStatus) -> None:
+    """Waits until the store has a final status, reported."""
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        while True:
+            record = read_records(path).get(name)
+            if record and (record.state, record.final_status) == (RecordState.REPORTED, final_status):
+                return
+            await asyncio.sleep(0.02)
+
+
 def test_report_of_a_disputed_delivery_that_the_store_recorded_outlasts_a_kill(tmp_path: Path) -> None:
     """The store has the delivery as complete: a start dropped the message without its report."""
     reports_allowed = False
@@ -175,5 +248,6 @@
         reports_allowed = True
         await harness.start()
         await harness.wait_until(lambda: harness.status_reports == [undeliverable_report("second")])
+        await wait_for_final_status(path, "second", StoredFinalStatus.FAILED)
 
     run_scenario(scenario, tmp_path, classes=CLASSES)
--- a/tests/relay/test_engine.py
+++ b/tests/relay/test_engine.py
@@ -270,6 +270,9 @@
     ) -> None:
         done()
 
+    def dispute_delivery(self, message_id: str, done: Callable[[], None]) -> None:
+        done()
+
     def max_record_wait_s(self, message_id: str) -> float:
         return 0.1
 
--- a/tests/relay/test_final_statuses.py
+++ b/tests/relay/test_final_statuses.py
@@ -14,7 +14,7 @@
 from loftrelay.relay.message import Message
 from loftrelay.relay.ports import StoreDecision
 from loftrelay.relay.record_wait import RecordWait
-from loftrelay.store.recorder import AdmissionDecision
+from loftrelay.store.admission import AdmissionDecision
 from tests.relay.test_engine import StubStore, make_engine
 
 pytestmark = pytest.mark.usefixtures("no_stalls")
--- a/tests/store/test_recorder.py
+++ b/tests/store/test_recorder.py
@@ -10,8 +10,9 @@
 
 from loftrelay.relay.message import Message
 from loftrelay.store import recorder as recorder_module
+from loftrelay.store.admission import AdmissionDecision
 from loftrelay.store.backend import RecordQuery
-from loftrelay.store.recorder import AdmissionDecision, Recorder
+from loftrelay.store.recorder import Recorder
 from loftrelay.store.state_machine import (
     DurabilityMode,
     MessageIdStatus,
--- a/tests/store/test_rules.py
+++ b/tests/store/test_rules.py
@@ -9,6 +9,7 @@
 
 from loftrelay.relay.ports import RecoveryAction
 from loftrelay.store.state_machine import (
+    DISPUTED_RESULT,
     Change,
     ChangeKind,
     CommitStatus,
@@ -279,3 +280,26 @@
             reconcile(journal_state, make_record(ADMIT, BEGIN, DECIDE), True, DurabilityMode.WRITE_AHEAD)
             is RecoveryAction.REPORT_AGAIN
         )
+
+
+def test_dispute_changes_only_a_recorded_delivery_to_failed() -> None:
+    for kinds in ((ADMIT, BEGIN, DECIDE), (ADMIT, BEGIN, DECIDE, REPORT)):
+        delivered = make_record(*kinds, final_status=StoredFinalStatus.DELIVERED)
+        dispute = make_change(ChangeKind.DISPUTE, len(kinds) + 1)
+        disputed = apply(delivered, dispute)
+        assert (disputed.state, disputed.final_status) == (RecordState.DECIDED, StoredFinalStatus.FAILED)
+        assert (disputed.result, disputed.reported_at) == (DISPUTED_RESULT, None)
+        assert resolve_commit(dispute, disputed) is CommitStatus.APPLIED
+        assert apply(disputed, make_change(REPORT, len(kinds) + 2)).state is RecordState.REPORTED
+        for final_status in (StoredFinalStatus.FAILED, StoredFinalStatus.REJECTED):
+            with pytest.raises(RecordRuleError):
+                apply(make_record(*kinds, final_status=final_status), dispute)
+
+
+def test_reconcile_of_a_disputed_delivery_updates_the_store() -> None:
+    """The journal has it as failed; an earlier version took the delivery for complete."""
+    for kinds in ((ADMIT, BEGIN, DECIDE), (ADMIT, BEGIN, DECIDE, REPORT)):
+        delivered = make_record(*kinds, final_status=StoredFinalStatus.DELIVERED)
+        for mode in DurabilityMode:
+            action = reconcile(JournalState.DECIDED, delivered, True, mode)
+            assert action is RecoveryAction.UPDATE_STORE
