--- a/loftrelay/relay/final_statuses.py
+++ b/loftrelay/relay/final_statuses.py
@@ -227,11 +227,10 @@
         context.store.final_status_reported(message_id)
 
     def fail_disputed(self, message_id: str) -> None:
-        """Ends a delivered message as failed, as its delivery is doubtful. The journal has it as open."""
+        """Reports a delivered message as failed, which the journal says already: its delivery is doubtful."""
         context = self.context
         final_status = final_status_record(FAILED, 0)
         self.counted_messages.add(message_id)
-        context.journal.record_final_status(message_id, final_status)
         fault_point("journal notice")
         if context.store is None:
             self.report(message_id, final_status)
--- a/loftrelay/relay/redelivery.py
+++ b/loftrelay/relay/redelivery.py
@@ -11,6 +11,7 @@
 from loftrelay.relay.message_state import Stage
 from loftrelay.relay.message_terms import is_repeatable
 from loftrelay.relay.ports import DisputedDelivery
+from loftrelay.relay.statuses import FAILED, FinalStatusRecord, final_status_record
 
 log = logging.getLogger(__name__)
 
@@ -33,15 +34,21 @@
             context.outcome_forwarder.delivery_disputed(delivery)
             return
         if context.message_states.stage(message.id) is Stage.RECORDING_DELIVERY:
+            context.journal.record_final_status(message.id, final_status_record(FAILED, 0))
             self._fail(message.id)
-            return
-        if message.id in context.journal.messages:
-            return
-        self._reopen(delivery)
+        elif message.id not in context.journal.messages:
+            self._reopen_and_continue(delivery)
+
+    def _reopen_and_continue(self, delivery: DisputedDelivery) -> None:
+        message = delivery.message
         if self._can_send_again(delivery):
+            self._reopen(delivery, None)
             log.warning("message %s: its delivery is doubtful, sending it again", message.id)
-            context.post(recovery_event(message, wall_clock()))
+            self.context.post(recovery_event(message, wall_clock()))
         else:
+            # One record of the journal: a start takes an open message that the store has as delivered
+            # for complete.
+            self._reopen(delivery, final_status_record(FAILED, 0))
             self._fail(message.id)
 
     def _fail(self, message_id: str) -> None:
@@ -56,9 +63,10 @@
             return False  # its record may be complete, and then takes no further attempt
         return delivery.has_body and is_repeatable(message.packed_terms)
 
-    def _reopen(self, delivery: DisputedDelivery) -> None:
+    def _reopen(self, delivery: DisputedDelivery, final_status: FinalStatusRecord | None) -> None:
         message = delivery.message
-        message.attempt_started_at = message.attempt_host = message.final_status = None
+        message.attempt_started_at = message.attempt_host = None
+        message.final_status = final_status
         if message.first_uncertain_attempt_at is None:
             message.first_uncertain_attempt_at = delivery.sent_at
             message.first_uncertain_attempt_host = delivery.host
