Delivery: a connection with a surplus response is read on, for the results still to come

Cause: the relay closed a connection at the first response that no call awaited. Behind two copies that is the result of the last call but one: the true result of the last was not read.

--- a/loftrelay/delivery/pool_driver.py
+++ b/loftrelay/delivery/pool_driver.py
@@ -23,6 +23,7 @@
 from loftrelay.delivery.connection_pool.settings import PoolSettings
 from loftrelay.delivery.host_call import HostCall, OpenedConnection, PoolError
 from loftrelay.delivery.recent_responses import RecentResponses, RetainedBodies
+from loftrelay.delivery.retired_connections import RetiredConnections
 from loftrelay.net.address import Address
 from loftrelay.net.http import Connection
 from loftrelay.net.unsolicited import UnsolicitedData
@@ -60,6 +61,7 @@
         self.on_disputed = on_disputed
         self.on_delivery_disputed = on_delivery_disputed
         self.retained_bodies = RetainedBodies()
+        self.retired = RetiredConnections(self._dispute)
         self.addresses: dict[str, Address] = {}
         self.connections: dict[int, OpenedConnection] = {}
         self.connecting: dict[int, asyncio.Task[None]] = {}
@@ -143,6 +145,7 @@
             self.connecting.pop(number, None)
             recent_responses = RecentResponses(self.retained_bodies)
             self.connections[number] = OpenedConnection(host, connection, recent_responses)
+            connection.keeps_surplus = True
             connection.on_unsolicited = partial(self.handle_unsolicited, number)
             self.execute(self.pool.connected(number, self.now_us()))
             return
@@ -249,20 +252,28 @@
             if data is not UnsolicitedData.CLOSED:
                 opened.connection.unsolicited_data = data
             return
-        self.close_connection(number, is_settled=data is UnsolicitedData.CLOSED)
         if data is UnsolicitedData.CLOSED:
+            self.close_connection(number)
             self.execute(self.pool.closed_by_peer(number, self.now_us()))
             return
         opened.connection.unsolicited_data = data
-        is_response = data is UnsolicitedData.RESPONSE
-        self.execute(self.pool.unsolicited_data_received(number, is_response, self.now_us(), is_trailing))
-        if is_response:
-            self._dispute(opened)
-        opened.recent_responses.clear()
+        if data is UnsolicitedData.RESPONSE:
+            self._retire(number, opened, is_trailing)
+            return
+        self.close_connection(number)
+        self.execute(self.pool.unsolicited_data_received(number, False, self.now_us(), is_trailing))
+
+    def _retire(self, number: int, opened: OpenedConnection, is_trailing: bool) -> None:
+        """Sends nothing more on a connection with a surplus response, and reads what else comes."""
+        del self.connections[number]
+        opened.connection.on_unsolicited = None
+        self.execute(self.pool.unsolicited_data_received(number, True, self.now_us(), is_trailing))
+        self._dispute(opened, opened.connection.is_unsolicited_ok)
+        self.retired.add(number, opened)
 
-    def _dispute(self, opened: OpenedConnection) -> None:
+    def _dispute(self, opened: OpenedConnection, is_surplus_ok: bool) -> None:
         """Disputes earlier responses on the connection, which may have belonged to other calls."""
-        responses = opened.recent_responses.disputed(opened.connection.is_unsolicited_ok)
+        responses = opened.recent_responses.disputed(is_surplus_ok)
         if not responses:
             return
         names = ", ".join(f"{response.message.id} ({response.status.value})" for response in responses)
@@ -283,16 +294,12 @@
 
     # Closing
 
-    def close_connection(self, number: int, is_settled: bool = True) -> None:
-        """Closes the socket of a connection, without an event for the pool.
-
-        `is_settled`: its responses can't be disputed any more.
-        """
+    def close_connection(self, number: int) -> None:
+        """Closes the socket of a connection, without an event for the pool."""
         if opened := self.connections.pop(number, None):
             opened.connection.on_unsolicited = None
             opened.connection.close()
-            if is_settled:
-                opened.recent_responses.clear()
+            opened.recent_responses.clear()
 
     def unsettled_connections(self) -> set[int]:
         """Returns the connections with a delivery of the last SETTLING_TIME_US, which may be disputed."""
@@ -316,6 +323,7 @@
             task.cancel()
         if self.timer is not None:
             self.timer.cancel()
+        self.retired.close()
         for opened in self.connections.values():
             opened.connection.on_unsolicited = None
             opened.connection.close()
--- a/loftrelay/delivery/recent_responses.py
+++ b/loftrelay/delivery/recent_responses.py
@@ -30,12 +30,14 @@
         status: The result.
         sent_at: When the request was written; wall clock, microseconds.
         has_body: Whether the message can be sent again.
+        is_disputed: Whether an unsolicited response has cast doubt on it.
     """
 
     message: Message
     status: AttemptStatus
     sent_at: int
     has_body: bool = False
+    is_disputed: bool = False
 
     def can_be_reported(self, now: int) -> bool:
         """Whether the message could still be delivered, or its final status reported, in time."""
@@ -72,6 +74,7 @@
     def __init__(self, bodies: RetainedBodies) -> None:
         self._bodies = bodies
         self._responses: deque[RecentResponse] = deque()
+        self._surplus: list[bool] = []  # whether each unsolicited response is a 200; the latest last
 
     def __iter__(self) -> Iterator[RecentResponse]:
         return iter(self._responses)
@@ -99,18 +102,23 @@
             self._bodies.drop(self._responses.popleft())
 
     def disputed(self, is_surplus_ok: bool) -> list[RecentResponse]:
-        """Returns the responses that an unsolicited response casts doubt on.
+        """Adds an unsolicited response; returns the responses that it casts doubt on, each once.
 
         These are the rejections among the last MAX_DISPUTED_REJECTIONS, and each delivery that is followed
-        by another result within MAX_SHIFT responses. The unsolicited response is the last of them;
-        `is_surplus_ok`: it is a 200.
+        by another result within MAX_SHIFT responses, the unsolicited ones included.
+
+        Args:
+            is_surplus_ok: Whether the unsolicited response is a 200.
         """
+        self._surplus.append(is_surplus_ok)
+        deliveries = [response.status is AttemptStatus.OK for response in self._responses]
+        is_delivery = deliveries + self._surplus
+        first_rejection = len(deliveries) - MAX_DISPUTED_REJECTIONS
         found: list[RecentResponse] = []
-        distance = MAX_SHIFT if is_surplus_ok else 0  # to the next response that is not a delivery
-        for position, response in enumerate(reversed(self._responses)):
-            is_delivery = response.status is AttemptStatus.OK
-            distance = distance if is_delivery else 0
-            if distance < MAX_SHIFT if is_delivery else position < MAX_DISPUTED_REJECTIONS:
+        for position, response in enumerate(self._responses):
+            following = is_delivery[position + 1 : position + 1 + MAX_SHIFT]
+            is_doubtful = not all(following) if is_delivery[position] else position >= first_rejection
+            if is_doubtful and not response.is_disputed:
+                response.is_disputed = True
                 found.append(response)
-            distance += is_delivery
-        return found[::-1]
+        return found
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -19,6 +19,7 @@
     ResponseTooLongError,
 )
 from loftrelay.net.shared_buffer import SharedBufferProtocol
+from loftrelay.net.surplus_responses import SurplusResponses
 from loftrelay.net.unsolicited import (
     OK_STATUS_LINE,
     UnreadAwareTimer,
@@ -46,6 +47,8 @@
         request_written_at: Time at which it was, in seconds on the clock of the event loop.
         first_byte_at: Time at which the first byte of the response was received; 0: not yet.
         unsolicited_data: Data that arrived right after the last response, or ahead of a response.
+        keeps_surplus: Whether the connection stays open for more data after an unsolicited response.
+        surplus: What came after the last response that was awaited; None: nothing, or it is not kept.
         is_unsolicited_ok: Whether the last unsolicited data starts with a status line with 200.
         on_unsolicited: Called once with the data that arrives while no response is awaited.
         on_request_written: Called once the last byte of the request is written.
@@ -63,6 +66,8 @@
         self.request_written_at = 0.0
         self.first_byte_at = 0.0
         self.unsolicited_data: UnsolicitedData | None = None
+        self.keeps_surplus = False
+        self.surplus: SurplusResponses | None = None
         self.is_unsolicited_ok = False
         self.on_unsolicited: Callable[[UnsolicitedData], None] | None = None
         self.on_request_written: Callable[[], None] | None = None
@@ -96,6 +101,8 @@
         """Whether the idle connection can carry a request: it is open and has no unread data or end."""
         if self.transport is None or self.transport.is_closing() or self.http.our_state is not h11.IDLE:
             return False
+        if self.surplus is not None:
+            return False
         return peek_unread(self.transport) is None
 
     def check_unsolicited_data(self) -> None:
@@ -205,7 +212,7 @@
         self.close()
         self._fail_request(ConnectionBrokenError())
         if not was_awaiting:
-            self._notify_unsolicited(UnsolicitedData.CLOSED)
+            self._unsolicited_received(b"")
 
     # Callbacks
 
@@ -214,32 +221,23 @@
         if callback is not None:
             callback()
 
-    def _notify_unsolicited(self, data: UnsolicitedData) -> None:
-        callback, self.on_unsolicited = self.on_unsolicited, None
-        if callback is not None:
-            callback(data)
-
     def _classify_unsolicited(self, data: bytes) -> UnsolicitedData:
         self.is_unsolicited_ok = OK_STATUS_LINE.match(data) is not None
         return classify_unsolicited(data)
 
-    # Deadline
+    # Responses
+
+    def _deadline_passed(self) -> None:
+        self._fail_request(TimeoutError())
 
     @property
     def _is_awaiting(self) -> bool:
         return self.pending_response is not None and not self.pending_response.done()
 
-    def _deadline_passed(self) -> None:
-        if self.pending_response is not None and not self.pending_response.done():
-            self.pending_response.set_exception(TimeoutError())
-
-    # Responses
-
     def data_received(self, data: bytes) -> None:
         """Handles received data; empty `data` means the end of the connection."""
         if not self._is_awaiting:
-            self.close()  # ended, or has unsolicited data: cannot be used again
-            self._notify_unsolicited(self._classify_unsolicited(data))
+            self._unsolicited_received(data)
             return
         if not self.first_byte_at:
             self.first_byte_at = asyncio.get_running_loop().time()
@@ -255,6 +253,20 @@
             self._completion_timer.start_at(when, self.transport, self._reject_response)
         self._parse(data)
 
+    def _unsolicited_received(self, data: bytes) -> None:
+        """Handles the end of the connection or unsolicited data, after which it can't be used again."""
+        if self.surplus is not None:
+            self.surplus.feed(data)
+            return
+        kind = self._classify_unsolicited(data)
+        if kind is UnsolicitedData.RESPONSE and self.keeps_surplus:
+            self.surplus = SurplusResponses(data)
+        else:
+            self.close()
+        callback, self.on_unsolicited = self.on_unsolicited, None
+        if callback is not None:
+            callback(kind)
+
     def _parse(self, data: bytes) -> None:
         try:
             response = self._parser.feed(data, self)
@@ -294,7 +306,7 @@
         self.close()
         self._fail_request(error or MalformedResponseError())
 
-    def _fail_request(self, error: ConnectionBrokenError) -> None:
+    def _fail_request(self, error: ConnectionBrokenError | TimeoutError) -> None:
         if self.pending_response is not None and not self.pending_response.done():
             self.on_unsolicited = None  # the caller learns of it from the error
             self.pending_response.set_exception(error)
@@ -306,6 +318,11 @@
             self.http.start_next_cycle()
         if self.http.trailing_data[0]:
             self.unsolicited_data = self._classify_unsolicited(self.http.trailing_data[0])
-        if self.http.our_state is not h11.IDLE or self.unsolicited_data is not None:
+        is_surplus = self.unsolicited_data is UnsolicitedData.RESPONSE and self.keeps_surplus
+        if self.http.our_state is not h11.IDLE:
+            self.close()
+        elif is_surplus:
+            self.surplus = SurplusResponses(self.http.trailing_data[0])
+        elif self.unsolicited_data is not None:
             self.close()
         self.pending_response.set_result(response)
--- a/tests/delivery/test_recent_responses.py
+++ b/tests/delivery/test_recent_responses.py
@@ -50,6 +50,13 @@
     assert "".join(response.message.id for response in disputed) == expected
 
 
+def test_each_surplus_response_disputes_what_those_before_it_left_open() -> None:
+    """Several duplicates shift the results by several calls; each result is disputed once."""
+    responses = make_responses("oo")
+    found = [[each.message.id for each in responses.disputed(is_ok)] for is_ok in (True, False, False)]
+    assert found == [[], ["0", "1"], []]
+
+
 def test_number_of_responses_of_a_connection_is_limited() -> None:
     responses = make_responses("o" * (MAX_RECENT_RESPONSES + 5))
     assert len(list(responses)) == MAX_RECENT_RESPONSES
--- a/tests/program/test_disputed_deliveries.py
+++ b/tests/program/test_disputed_deliveries.py
@@ -105,6 +105,46 @@
     run_scenario(scenario, tmp_path, classes=CLASSES)
 
 
+@dataclass
+class TwiceDuplicatingHost(DuplicatingHost):
+    """Host that answers "second" and "third" with copies of the response before; it then rejects "third".
+
+    Attributes:
+        response_s: Seconds from "second" and "third" to their true responses.
+    """
+
+    response_s: tuple[float, float] = (0.15, 0.25)
+
+    async def respond(self, request: Request) -> bytes | None:
+        self.attempts.append(request.id)
+        if request.id == "first" or self.attempts.count(request.id) > 1:
+            return format_response(200)
+        self.write(request.connection, format_response(200))
+        is_second = request.id == "second"
+        await asyncio.sleep(self.response_s[not is_second])
+        return format_response(200 if is_second else 503)
+
+
+@pytest.mark.parametrize("response_s", [(0.15, 0.25), (0.4, 0.05), (0.15, 0.1)])
+def test_message_behind_two_duplicates_is_delivered_once_its_rejection_comes(
+    tmp_path: Path, response_s: tuple[float, float]
+) -> None:
+    """The connection was closed at the first surplus response, so that the rejection was not read."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        host = TwiceDuplicatingHost(response_s=response_s)
+        await start_host(harness, host)
+        await harness.start()
+        for name in ("first", "second", "third"):
+            assert await harness.submit(name) == 202
+            await harness.wait_until(lambda name=name: name in host.attempts)  # type: ignore[misc]
+            await asyncio.sleep(0.03)
+        await harness.wait_until(lambda: host.attempts.count("third") == 2)
+        assert harness.status_reports == []
+
+    run_scenario(scenario, tmp_path, classes=CLASSES)
+
+
 def test_message_that_must_keep_its_order_is_reported(tmp_path: Path) -> None:
     """Later messages of its key may have been sent, so it is not sent again."""
     classes = [*CLASSES, {**CLASSES[0], "name": "ordered", "in_order": True}]
