--- a/loftrelay/journal/compaction.py
+++ b/loftrelay/journal/compaction.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterator
+from itertools import islice
 
 from loftrelay.journal.index import JournalIndex
 from loftrelay.journal.records import CompletionCopied, MessageAdmitted, Record
@@ -20,9 +21,20 @@
 MIN_STEP_BYTES = 32 << 10  # smallest limit of the bytes copied in one step: about a millisecond
 STEP_BYTES_PER_WRITTEN_BYTE = 8
 STEPWISE_ABOVE_FRACTION = 5 / 8  # of the budget in use: the oldest segment is dropped in steps
+CHUNK_ENTRIES = 256  # entries of a segment that are looked up at once
 AT_ONCE_ABOVE_FRACTION = 3 / 4  # of the budget in use: all old segments are dropped at once
 
 
+def _in_chunks(entries: Collection[str]) -> Iterator[str]:
+    """Yields each entry; the caller removes it from `entries` before the next.
+
+    The first entry of a set or dict is found by a search past all those that were removed before it, so
+    CHUNK_ENTRIES are taken at once.
+    """
+    while chunk := tuple(islice(entries, CHUNK_ENTRIES)):
+        yield from chunk
+
+
 class Compactor:
     """Drops old segments of a journal."""
 
@@ -76,18 +88,15 @@
 
     def _copy_entries(self, number: int, limit: int | None) -> bool:
         """Writes the live entries of a segment again; returns False if the limit was reached first."""
-        messages = self._index.open_messages.by_segment.get(number, {})
-        while messages:  # each write moves an entry to the current segment
+        for message_id in _in_chunks(self._index.open_messages.by_segment.get(number, {})):
             if self._exceeds(limit):
                 return False
-            message = self._index.open_messages.messages[next(iter(messages))]
+            message = self._index.open_messages.messages[message_id]
             self._write(MessageAdmitted.copy_of(message))
         self._index.completed.remove_expired()
-        completed = self._index.completed.by_segment.get(number, set())
-        while completed:
+        for message_id in _in_chunks(self._index.completed.by_segment.get(number, set())):
             if self._exceeds(limit):
                 return False
-            message_id = next(iter(completed))
             self._write(CompletionCopied(message_id, self._index.completed.entries[message_id].message))
         return True
 
--- a/loftrelay/journal/records.py
+++ b/loftrelay/journal/records.py
@@ -47,6 +47,7 @@
 _field_values = attrgetter(*(field.name for field in fields(Message)))
 
 _encode_json = json.JSONEncoder(separators=(",", ":")).encode
+_decode_json = json.JSONDecoder().decode
 
 
 @dataclass(slots=True)
@@ -274,6 +275,6 @@
             return
         offset += length
         line, _, body = payload.partition(b"\n")
-        stored = json.loads(line)
+        stored = _decode_json(line.decode())
         decode = _DECODERS.get(stored.pop("t"))
         yield (decode(stored, body) if decode is not None else None), offset
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -6,12 +6,13 @@
 import os
 import random
 import shutil
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from loftrelay.decisions.events import AttemptStatus
-from loftrelay.journal.compaction import MIN_STEP_BYTES, STEP_BYTES_PER_WRITTEN_BYTE
+from loftrelay.journal.compaction import CHUNK_ENTRIES, MIN_STEP_BYTES, STEP_BYTES_PER_WRITTEN_BYTE
 from loftrelay.journal.journal import Journal
 from loftrelay.relay.clock import wall_clock
 from loftrelay.relay.message import Message
@@ -315,3 +316,33 @@
     reader.take_ownership()
     assert max(reader.files.segments) == max(owner.files.segments) + 1
     reader.close()
+
+
+class CountingSet(set[str]):
+    """A set that counts how often its entries are looked up from the first one on."""
+
+    iterations = 0
+
+    def __iter__(self) -> Iterator[str]:
+        self.iterations += 1
+        return super().__iter__()
+
+
+def test_compaction_of_many_completed_messages_does_not_search_for_each(tmp_path: Path) -> None:
+    """Each search passed all entries copied before: a start with 60,000 of them took 9 to 40 s."""
+    journal = Journal(tmp_path, 10 * MB)
+    expires_at = wall_clock() + MINUTE_US
+    for number in range(1_000):
+        message = make_message(str(number), 1)
+        message.deadline = expires_at
+        journal.admit(message)
+        journal.complete(message.id, 200)
+    (first,) = journal.files.segments
+    completed = journal.index.completed.by_segment[first] = CountingSet(
+        journal.index.completed.by_segment[first]
+    )
+    journal.files.begin_segment()
+    journal._compactor.drop_oldest(1)
+    assert first not in journal.files.segments
+    assert completed.iterations <= 1_000 // CHUNK_ENTRIES + 2
+    assert journal.completed("999") is not None
