--- a/loftrelay/delivery/pool_driver.py
+++ b/loftrelay/delivery/pool_driver.py
@@ -145,7 +145,7 @@
             self.connecting.pop(number, None)
             recent_responses = RecentResponses(self.retained_bodies)
             self.connections[number] = OpenedConnection(host, connection, recent_responses)
-            connection.keeps_surplus = True
+            connection.collects_surplus = True
             connection.on_unsolicited = partial(self.handle_unsolicited, number)
             self.execute(self.pool.connected(number, self.now_us()))
             return
--- a/loftrelay/delivery/retired_connections.py
+++ b/loftrelay/delivery/retired_connections.py
@@ -45,7 +45,7 @@
         self.connections: dict[int, RetiredConnection] = {}
 
     def add(self, number: int, opened: OpenedConnection) -> None:
-        """Reads a connection from now on; the response with which it was retired is not passed on."""
+        """Starts to read a connection; the response with which it was retired is not passed on."""
         if len(self.connections) >= MAX_RETIRED:
             self._close(next(iter(self.connections)))
         timer = asyncio.get_running_loop().call_later(READ_S, self._close, number)
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -47,8 +47,8 @@
         request_written_at: Time at which it was, in seconds on the clock of the event loop.
         first_byte_at: Time at which the first byte of the response was received; 0: not yet.
         unsolicited_data: Data that arrived right after the last response, or ahead of a response.
-        keeps_surplus: Whether the connection stays open for more data after an unsolicited response.
-        surplus: What came after the last response that was awaited; None: nothing, or it is not kept.
+        collects_surplus: Whether the connection stays open for more data after an unsolicited response.
+        surplus: What came after the last response that was awaited; None: nothing, or it is dropped.
         is_unsolicited_ok: Whether the last unsolicited data starts with a status line with 200.
         on_unsolicited: Called once with the data that arrives while no response is awaited.
         on_request_written: Called once the last byte of the request is written.
@@ -66,7 +66,7 @@
         self.request_written_at = 0.0
         self.first_byte_at = 0.0
         self.unsolicited_data: UnsolicitedData | None = None
-        self.keeps_surplus = False
+        self.collects_surplus = False
         self.surplus: SurplusResponses | None = None
         self.is_unsolicited_ok = False
         self.on_unsolicited: Callable[[UnsolicitedData], None] | None = None
@@ -259,7 +259,7 @@
             self.surplus.feed(data)
             return
         kind = self._classify_unsolicited(data)
-        if kind is UnsolicitedData.RESPONSE and self.keeps_surplus:
+        if kind is UnsolicitedData.RESPONSE and self.collects_surplus:
             self.surplus = SurplusResponses(data)
         else:
             self.close()
@@ -318,7 +318,7 @@
             self.http.start_next_cycle()
         if self.http.trailing_data[0]:
             self.unsolicited_data = self._classify_unsolicited(self.http.trailing_data[0])
-        is_surplus = self.unsolicited_data is UnsolicitedData.RESPONSE and self.keeps_surplus
+        is_surplus = self.unsolicited_data is UnsolicitedData.RESPONSE and self.collects_surplus
         if self.http.our_state is not h11.IDLE:
             self.close()
         elif is_surplus:
--- a/loftrelay/net/surplus_responses.py
+++ b/loftrelay/net/surplus_responses.py
@@ -12,7 +12,7 @@
 
 
 class SurplusResponses:
-    """Parses surplus responses; keeps the data until somebody reads the statuses.
+    """Parses surplus responses; buffers the data until `read` is called.
 
     Attributes:
         on_status: Called with the status of each complete response.
--- a/loftrelay/relay/attempts.py
+++ b/loftrelay/relay/attempts.py
@@ -146,7 +146,7 @@
         return waited < (MAX_APPROVAL_WAIT_UNCHANGED_S if changed_at < requested_at else MAX_APPROVAL_WAIT_S)
 
     def _reschedule(self, position: int, call: PendingCall) -> None:
-        """Reschedules a call that was refused, approved too late or given up. It is no attempt."""
+        """Reschedules a call that was refused, approved too late or given up; no attempt is counted."""
         approvers = self.context.attempt_approvers
         for approver in approvers[: position + 1]:
             for message in call.messages:
--- a/loftrelay/relay/final_statuses.py
+++ b/loftrelay/relay/final_statuses.py
@@ -1,8 +1,8 @@
 """Final statuses: records how a message ended, and informs its client or the platform exactly once.
 
 Where there is a store, it records the final status before anyone is informed, unless it takes too long: the
-client or the platform is then informed without it, and the journal keeps the message until the store has the
-final status. A delivery is never claimed without its record.
+client or the platform is then informed without it, and the message stays in the journal until the store has
+the final status. A delivery is never claimed without its record.
 """
 
 from __future__ import annotations
@@ -92,7 +92,7 @@
         self._record(self.context.store, message_id, stored_status, partial(self._respond, response))
 
     def _respond(self, response: PendingResponse, is_recorded: bool) -> None:
-        """Completes a message by the response to its client; without a record, the journal keeps it."""
+        """Responds to the client, which completes the message if the store has its final status."""
         context, message_id = self.context, response.message_id
         if (message := context.journal.messages.get(message_id)) is not None:
             has_failed = response.status == FAILED
@@ -172,7 +172,7 @@
     def report_acknowledged(self, message_id: str) -> None:
         """Completes a message whose final status the platform has acknowledged.
 
-        The journal keeps it until the store has the final status.
+        It stays in the journal until the store has the final status.
         """
         context = self.context
         is_recorded = context.message_states.is_recorded(message_id)
@@ -220,7 +220,7 @@
         context = self.context
         assert context.store is not None
         if context.message_states.stage(message_id) is not Stage.RECORDING_DELIVERY:
-            return  # it was disputed meanwhile
+            return  # its delivery was disputed before the commit
         context.message_states.complete(message_id)
         context.journal.complete(message_id, remembered_status)
         fault_point("journal over")
--- a/loftrelay/relay/message_state.py
+++ b/loftrelay/relay/message_state.py
@@ -221,7 +221,7 @@
         self._move(message_id, Stage.RECORDING_FINAL_STATUS).final_status = final_status
 
     def begin_reporting(self, message_id: str) -> dict[str, Any] | None:
-        """Notes that a final status is reported from now on; returns it, or None if no report is due."""
+        """Notes that the report of a final status begins; returns the status, or None if none is due."""
         state = self.by_message.get(message_id)
         if state is None or state.stage is not Stage.RECORDING_FINAL_STATUS:
             return None
@@ -239,7 +239,7 @@
             state.is_recorded = True
 
     def is_recorded(self, message_id: str) -> bool:
-        """Returns whether the store has the final status of a message, or nobody waits for its record."""
+        """Returns whether the store has the final status of a message; True for an unknown one."""
         state = self.by_message.get(message_id)
         return state is None or state.is_recorded
 
--- a/loftrelay/relay/record_wait.py
+++ b/loftrelay/relay/record_wait.py
@@ -20,7 +20,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def limit(self, max_wait_s: float) -> None:
-        """Limits the wait from now on, if it is not over."""
+        """Starts the time limit, unless the wait is over."""
         if self.is_over:
             return
         if max_wait_s <= 0:
--- a/loftrelay/relay/statuses.py
+++ b/loftrelay/relay/statuses.py
@@ -17,7 +17,7 @@
 STORED_FAILED = "failed"
 
 FinalStatusRecord = dict[str, Any]  # as in the journal and in reports to the platform
-# In the journal alone: the client or the platform has the final status, and the store may not have it yet.
+# Only in the journal: the client or the platform has the final status, and the store may not have it.
 REPORTED_FIELD = "told"
 
 
--- a/loftrelay/service/startup_reports.py
+++ b/loftrelay/service/startup_reports.py
@@ -1,7 +1,7 @@
 """Reports of messages that end while a start waits for its store of record.
 
-The journal alone decides: its final statuses are reported, and a message whose deadline passes has failed.
-Nothing is sent to hosts meanwhile. Once the store is open, the recovery records what was reported here.
+The journal is the only source: its final statuses are reported, and a message whose deadline passes fails.
+No calls are made. Once the store is open, the recovery records these reports in it.
 """
 
 from __future__ import annotations
--- a/loftrelay/service/store_setup.py
+++ b/loftrelay/service/store_setup.py
@@ -36,7 +36,7 @@
 async def open_store(config: Config, store_settings: StoreSettings, journal: Journal) -> Recorder:
     """Opens the store of record and reads it; retries while the store is unavailable.
 
-    Meanwhile messages of the journal that end are reported, so that a start costs no report its time.
+    While it waits, messages of the journal whose deadline passes are reported in time.
 
     Args:
         config: Configuration of the relay.
--- a/loftrelay/store/pruning.py
+++ b/loftrelay/store/pruning.py
@@ -22,7 +22,7 @@
 
     Args:
         writer: Runs the steps between its commits.
-        retention_us: How long reported records are kept, in microseconds.
+        retention_us: Age from which on reported records are deleted, in microseconds.
     """
 
     def __init__(self, writer: Writer, retention_us: int) -> None:
--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -340,7 +340,7 @@
     ) -> None:
         """Records the final status of a message; calls `done` after the commit.
 
-        It calls `done` immediately if the message is not recorded. Until the commit the journal keeps it.
+        It calls `done` immediately if the message is not recorded. Until the commit it stays in the journal.
         """
         position, final_status = self.positions.get(message_id), StoredFinalStatus(stored_status)
         if position is None:
@@ -460,9 +460,9 @@
         final_status: StoredFinalStatus | None = None,
         urgent: bool = True,
     ) -> None:
-        """Queues a change; calls `done` once it is committed, or once the store has refused it for good.
+        """Queues a change; calls `done` once it is committed, or once the store has rejected it as invalid.
 
-        If the writer closes first, `done` is not called: the journal keeps the message for the next start.
+        If the writer closes first, `done` is not called: the message stays in the journal for the next start.
         """
 
         def on_written(error: Exception | None) -> None:
--- a/loftrelay/store/worker_thread.py
+++ b/loftrelay/store/worker_thread.py
@@ -1,4 +1,4 @@
-"""Thread that runs the calls of a store one after the other; one that hangs does not keep the process."""
+"""Thread that runs the calls of a store one after the other; a hanging call does not delay the exit."""
 
 from __future__ import annotations
 
--- a/tests/delivery/test_surplus_responses.py
+++ b/tests/delivery/test_surplus_responses.py
@@ -1,4 +1,4 @@
-"""Surplus responses: in any pieces, before and after somebody reads them, and what ends them."""
+"""Surplus responses: in any pieces, before and after `read` is called, and what ends them."""
 
 from __future__ import annotations
 
--- a/tests/program/test_disputed_deliveries.py
+++ b/tests/program/test_disputed_deliveries.py
@@ -199,7 +199,7 @@
 
 @pytest.mark.parametrize("mode", ["required", "follows"])
 def test_disputed_delivery_is_failed_in_the_store_too(tmp_path: Path, mode: str) -> None:
-    """The store kept "delivered", which the report to the platform contradicts."""
+    """The store still had "delivered", which the report to the platform contradicts."""
 
     async def scenario(harness: RelayHarness) -> None:
         path = configure_store(harness, repeatable=f'"{mode}"')
@@ -211,7 +211,7 @@
         await wait_for_final_status(path, "second", StoredFinalStatus.FAILED)
         record = (await wait_for_state(path, ["second"], RecordState.REPORTED))["second"]
         assert (record.attempts, record.result) == (1, DISPUTED_RESULT)
-        if mode == "required":  # in the other mode a new submission does not ask the store
+        if mode == "required":  # in the other mode a submission is accepted without the store
             assert await harness.submit("second", "status") == 500
 
     run_scenario(scenario, tmp_path, classes=CLASSES)
--- a/tests/program/test_recovered.py
+++ b/tests/program/test_recovered.py
@@ -46,7 +46,7 @@
 ) -> None:
     """Messages of each class with half, a tenth and nearly none of their time left, batched in one call.
 
-    On a starved machine the start itself may outlast the time of some: these are reported.
+    On a starved machine the start may take longer than the time of some: these are reported.
     """
 
     async def scenario(harness: RelayHarness) -> None:
--- a/tests/program/test_store_outage.py
+++ b/tests/program/test_store_outage.py
@@ -1,6 +1,6 @@
 """The store of record is away, slow or hangs: accepted messages are delivered or reported in their time.
 
-Once the store is back, it has the final status that was reported, also after a kill meanwhile.
+Once the store is back, it has the reported final status, also after a kill during the outage.
 """
 
 from __future__ import annotations
@@ -50,7 +50,7 @@
 async def submit_orders(
     harness: RelayHarness, names: list[str], message_time_s: float = MESSAGE_TIME_S
 ) -> list[Submission]:
-    """Submits orders, each with a key of its own; returns those that were accepted."""
+    """Submits orders, each with another ordering key; returns those that were accepted."""
     accepted = []
     for name in names:
         due_at = time.time() + message_time_s
@@ -131,7 +131,7 @@
 
 @pytest.mark.parametrize("fault_point", UNRECORDED_POINTS, ids=lambda point: point.replace(" ", "-"))
 def test_kill_around_an_unrecorded_report_keeps_its_final_status(tmp_path: Path, fault_point: str) -> None:
-    """The store has what was reported; after "journal told" it is not reported again."""
+    """The store gets the reported final status; after the point "journal told" it is not reported again."""
 
     async def scenario(harness: RelayHarness) -> None:
         path = configure_store(harness)
--- a/tests/standins/store_lock.py
+++ b/tests/standins/store_lock.py
@@ -1,4 +1,4 @@
-"""Another program that writes to the SQLite store of record, and so keeps the relay from writing."""
+"""Another program that writes to the SQLite store of record, which locks out the relay."""
 
 from __future__ import annotations
 
