Test of store outages: a host may run a message that the relay has given up

Traced in its record: attempt 143 ms before the deadline, timed out 20 ms before it, reported as failed in time; the host, 120 ms of work, ran it just after. Undeliverable promises nothing.

Change: store and host may differ where the record is failed with an uncertain result (TIMEOUT, BROKEN), and only there. All else is compared as before.

--- a/tests/program/test_store_outage.py
+++ b/tests/program/test_store_outage.py
@@ -34,6 +34,7 @@
 MESSAGE_TIME_S = 2.0
 SLOW_STORE_S = 8.0
 KILL_AFTER_S = 3.7  # from SIGTERM to the platform's SIGKILL
+UNCERTAIN_RESULTS = ("TIMEOUT", "BROKEN")  # the host may have run the message after the relay gave it up
 CLIENT_WAIT_S = 0.4  # of a client for its response
 ONE_CALL = {**SETTINGS["extra"], "call_slots": 1}
 ONE_ATTEMPT = {**SETTINGS["policy_limits"], "most_tries": 1}
@@ -98,7 +99,8 @@
     for name, record in read_records(path).items():
         assert record.state is RecordState.REPORTED
         is_delivered = record.final_status is StoredFinalStatus.DELIVERED
-        assert is_delivered == (name in host.delivered), name
+        was_given_up = record.final_status is StoredFinalStatus.FAILED and record.result in UNCERTAIN_RESULTS
+        assert is_delivered == (name in host.delivered) or was_given_up, name
         assert is_delivered == (name not in reports) or name not in accepted_names, name
     for name, reported_at in harness.reported_at.items():
         assert host.begun_at.get(name, 0.0) < reported_at
