--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,6 +28,7 @@
 SHUT_S = 10.0  # the partner is shut for so long (6.2 to 18 s) and tells to wait until it opens
 MESSAGES = 10  # one after the other
 LAST_MESSAGES = 4  # by as many clients at once, after a pause
+FIRST_PAUSE_S = 1.2  # SIGHUP never comes in the first second of a relay, nor before it is ready
 PAUSE_S = 0.2
 MESSAGE_TIME_MS = 24_000
 SETTLE_S = 3.0  # after the time of the last message
@@ -63,6 +64,7 @@
         await relay.start(f"--record {store}")
         client = Client(record, relay.port)
         await client.submit("status-first", "status-update", 7, MESSAGE_TIME_MS)
+        await asyncio.sleep(FIRST_PAUSE_S)
         if has_trouble:
             await drop_class(relay, discovery)
         for number in range(MESSAGES):  # within 1.2 s of SIGHUP clients still use the class
