--- a/loftrelay/journal/index.py
+++ b/loftrelay/journal/index.py
@@ -21,6 +21,8 @@
     MessageCompleted,
     OutcomeDisputed,
     Record,
+    StoreAwaited,
+    StoreConfirmed,
 )
 from loftrelay.relay.message import CompletedMessage, Message
 
@@ -169,7 +171,14 @@
         message = self.open_messages.messages.get(record.message_id)
         if message is None:
             return  # it is complete, and the segment with its admission has been deleted
+        self._apply_to_message(message, record)
+
+    def _apply_to_message(self, message: Message, record: Record) -> None:
         match record:
+            case StoreAwaited():
+                message.awaits_store = True
+            case StoreConfirmed():
+                message.awaits_store = False
             case AttemptStarted():
                 message.attempts = record.attempts
                 message.attempt_started_at, message.attempt_host = record.started_at, record.host
--- a/loftrelay/journal/journal.py
+++ b/loftrelay/journal/journal.py
@@ -28,6 +28,7 @@
     MessageCompleted,
     OutcomeDisputed,
     Record,
+    StoreConfirmed,
     encode_record,
 )
 from loftrelay.journal.recovery import read_segments
@@ -117,6 +118,14 @@
         self._write(MessageAdmitted.copy_of(message))
         self._compactor.reclaim_space(self.files.record_bytes - bytes_before)
 
+    def record_store_confirmed(self, message_id: str) -> None:
+        """Stores that the store of record has a message; must be called before its client gets 202.
+
+        Raises:
+            JournalFullError: nothing is stored, and the client must not get 202.
+        """
+        self._write(StoreConfirmed(message_id))
+
     def reopen(self, message: Message) -> None:
         """Stores a message again that was complete; its fields tell what became of it so far."""
         self._write_or_apply(MessageAdmitted.copy_of(message))
--- a/loftrelay/journal/records.py
+++ b/loftrelay/journal/records.py
@@ -39,10 +39,11 @@
     "idempotency_key": "idempotency_key",
 }
 _FIELDS_BY_STORED_NAME = {stored: name for name, stored in MESSAGE_FIELD_NAMES.items()}
+_SEPARATELY_STORED_FIELDS = ("body", "awaits_store")
 _STORED_FIELDS = tuple(
     (field.name, MESSAGE_FIELD_NAMES[field.name], field.default)
     for field in fields(Message)
-    if field.name != "body"
+    if field.name not in _SEPARATELY_STORED_FIELDS
 )
 _field_values = attrgetter(*(field.name for field in fields(Message)))
 
@@ -91,6 +92,44 @@
         return cls(message)
 
 
+@dataclass(slots=True)
+class StoreAwaited:
+    """Note that the client of a message gets no response before the store of record has the message.
+
+    It follows the message's admission, in the same write. It is a record of its own, and no field of the
+    admission, because earlier versions skip unknown records and fail on unknown fields.
+    """
+
+    KIND: ClassVar = "await"
+    message_id: str
+
+    def to_stored(self) -> dict[str, Any]:
+        """Returns the kind and the fields of the record under their stored names."""
+        return {"t": self.KIND, "id": self.message_id}
+
+    @classmethod
+    def from_stored(cls, stored: dict[str, Any], _: bytes) -> StoreAwaited:
+        """Returns the record with the given stored fields."""
+        return cls(stored["id"])
+
+
+@dataclass(slots=True)
+class StoreConfirmed:
+    """Note that the store of record has a message; written before its client gets 202."""
+
+    KIND: ClassVar = "sure"
+    message_id: str
+
+    def to_stored(self) -> dict[str, Any]:
+        """Returns the kind and the fields of the record under their stored names."""
+        return {"t": self.KIND, "id": self.message_id}
+
+    @classmethod
+    def from_stored(cls, stored: dict[str, Any], _: bytes) -> StoreConfirmed:
+        """Returns the record with the given stored fields."""
+        return cls(stored["id"])
+
+
 @dataclass(slots=True)
 class AttemptStarted:
     """Start of an attempt; written before its first byte is sent."""
@@ -231,6 +270,8 @@
 
 Record = (
     MessageAdmitted
+    | StoreAwaited
+    | StoreConfirmed
     | AttemptStarted
     | AttemptEnded
     | OutcomeDisputed
@@ -241,6 +282,8 @@
 
 _DECODERS: dict[str, Callable[[dict[str, Any], bytes], Record]] = {
     MessageAdmitted.KIND: MessageAdmitted.from_stored,
+    StoreAwaited.KIND: StoreAwaited.from_stored,
+    StoreConfirmed.KIND: StoreConfirmed.from_stored,
     AttemptStarted.KIND: AttemptStarted.from_stored,
     AttemptEnded.KIND: AttemptEnded.from_stored,
     OutcomeDisputed.KIND: OutcomeDisputed.from_stored,
@@ -251,8 +294,16 @@
 
 
 def encode_record(record: Record) -> bytes:
-    """Returns the record with its header, ready to append to a segment."""
-    body = record.message.body if isinstance(record, MessageAdmitted) else b""
+    """Returns the record with its header, and any record that belongs to it, ready to append to a segment."""
+    if not isinstance(record, MessageAdmitted):
+        return _encode(record, b"")
+    encoded = _encode(record, record.message.body)
+    if record.message.awaits_store:
+        encoded += _encode(StoreAwaited(record.message_id), b"")
+    return encoded
+
+
+def _encode(record: Record, body: bytes) -> bytes:
     payload = _encode_json(record.to_stored()).encode() + b"\n" + body
     return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
--- a/loftrelay/relay/fault_points.py
+++ b/loftrelay/relay/fault_points.py
@@ -15,6 +15,7 @@
     "commit take",
     "committed take",
     "recorded take",  # the event loop knows of the commit; the client has no response yet
+    "journal sure",  # the commit is noted in the journal; the client has no response yet
     "answered taken",  # 202 is written to the client
     "commit intend",
     "committed intend",
--- a/loftrelay/relay/intake.py
+++ b/loftrelay/relay/intake.py
@@ -104,39 +104,54 @@
             self._reject(submission.message, submission.respond)
 
     def _admit(self, message: Message, respond: ResponseCallback, loop_deadline: float) -> None:
+        store = self.context.store
+        message.awaits_store = store is not None and store.must_confirm(message)
         try:
             self.context.journal.admit(message)
         except JournalFullError:
             self._reject(message, respond)
             return
         fault_point("journal take")
-        if self.context.store is None:
+        if store is None:
             self._accept(message, respond, loop_deadline)
             return
         self.context.message_states.begin_storing(message.id, respond)
-        self.context.store.admit(message, partial(self._handle_store_decision, message, loop_deadline))
+        store.admit(message, partial(self._handle_store_decision, message, loop_deadline))
 
     def _handle_store_decision(self, message: Message, loop_deadline: float, decision: StoreDecision) -> None:
         """Continues the admission of a message with the decision of the store."""
         fault_point("recorded take")
         respond = self.context.message_states.storing_callback(message.id)
         if decision.status or decision.retry_after_ms:
-            self._respond_with_decision(message, respond, decision)
-        elif respond is not None:
-            self._accept(message, respond, loop_deadline)
+            self._respond_with_decision(message, respond, decision.status, decision.retry_after_ms)
+        elif respond is None:  # its client has disconnected meanwhile
+            self.final_statuses.record_cancelled(message.id)
+        elif message.awaits_store and not self._confirm_stored(message):
+            self.final_statuses.record_cancelled(message.id)
+            self._respond_with_decision(message, respond, 0, OVERLOAD_RETRY_AFTER_MS)
         else:
-            self.final_statuses.record_cancelled(message.id)  # its client has disconnected meanwhile
+            self._accept(message, respond, loop_deadline)
+
+    def _confirm_stored(self, message: Message) -> bool:
+        """Notes in the journal that the store has a message; returns whether its client may get 202."""
+        try:
+            self.context.journal.record_store_confirmed(message.id)
+        except JournalFullError:
+            return False
+        fault_point("journal sure")
+        return True
 
     def _respond_with_decision(
-        self, message: Message, respond: ResponseCallback | None, decision: StoreDecision
+        self, message: Message, respond: ResponseCallback | None, known_status: int, retry_after_ms: int
     ) -> None:
+        """Responds to a message that is not admitted; `known_status` is 0 if it is rejected."""
         self.context.journal.complete(message.id)
         if respond is None:
             return
         self.context.message_states.complete(message.id)
-        if not decision.status:
+        if not known_status:
             self.context.metrics.count_final_status(message.class_name, FinalStatus.REJECTED)
-        respond(decision.status or REJECTED, decision.retry_after_ms)
+        respond(known_status or REJECTED, retry_after_ms)
 
     def _accept(self, message: Message, respond: ResponseCallback, loop_deadline: float) -> None:
         """Submits a message to the scheduler; `loop_deadline` is in seconds of the event loop's clock."""
--- a/loftrelay/relay/message.py
+++ b/loftrelay/relay/message.py
@@ -39,3 +39,6 @@
     final_status: dict[str, Any] | None = None  # set until the platform has acknowledged it
     packed_terms: Sequence[Any] | None = None  # see message_terms; None: admitted by an older version
     idempotency_key: str | None = None  # the host uses it to drop duplicates; forwarded unchanged
+    # Its client gets no response before the store of record has the message. False once the store has it, and
+    # for a message that its process admitted on the journal alone.
+    awaits_store: bool = False
--- a/loftrelay/relay/ports.py
+++ b/loftrelay/relay/ports.py
@@ -59,6 +59,13 @@
             JournalFullError: the journal or the disk is full.
         """
 
+    def record_store_confirmed(self, message_id: str) -> None:
+        """Records that the store of record has a message that awaited it.
+
+        Raises:
+            JournalFullError: the journal or the disk is full.
+        """
+
     def reopen(self, message: Message) -> None:
         """Stores a message again that was complete; its fields tell what became of it so far."""
 
@@ -135,6 +142,9 @@
 class MessageStore(AttemptApprover, Protocol):
     """The store of record, if one is configured. It calls back from the event loop, immediately or later."""
 
+    def must_confirm(self, message: Message) -> bool:
+        """Returns whether a new message must be stored before its client gets 202."""
+
     def admit(self, message: Message, done: Callable[[StoreDecision], None]) -> None:
         """Stores a new message, or looks up a known id; calls `done` with the decision."""
 
--- a/loftrelay/relay/recovery.py
+++ b/loftrelay/relay/recovery.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from collections.abc import Mapping
+from functools import partial
 from typing import Any
 
 from loftrelay.decisions.events import AttemptStatus, OrderingKeyCooldown
@@ -17,7 +19,7 @@
 from loftrelay.relay.final_statuses import FinalStatuses
 from loftrelay.relay.message import Message
 from loftrelay.relay.message_terms import is_idempotent, is_repeatable
-from loftrelay.relay.ports import MessageStore, RecoveryAction, ResolutionStatus
+from loftrelay.relay.ports import JournalFullError, MessageStore, RecoveryAction, ResolutionStatus
 from loftrelay.relay.statuses import (
     DELIVERED,
     FAILED,
@@ -113,11 +115,9 @@
     def _reconcile(self, message: Message) -> bool:
         """Reconciles a message of the journal with the store; returns whether the message is still open."""
         store = self.context.store
-        has_report = message.final_status is not None and is_reported(message.final_status)
         if store is None:
-            if has_report:
-                self.context.journal.complete(message.id)
-            return not has_report
+            return self._reconcile_without_store(message)
+        has_report = message.final_status is not None and is_reported(message.final_status)
         stored_status = store.stored_final_status(message.id)
         action = store.recover(message, message.id, not is_repeatable(message.packed_terms))
         if action in (RecoveryAction.COMPLETE, RecoveryAction.DISCARD):
@@ -138,6 +138,24 @@
         # Recorded as a possible run, so that the scheduler fails the message: it must not run twice.
         if action is RecoveryAction.FAIL and message.first_uncertain_attempt_at is None:
             self.context.journal.record_dispute(message, message.attempt_host or "", wall_clock())
+        if message.awaits_store:
+            with contextlib.suppress(JournalFullError):  # then the next start finds out again
+                self.context.journal.record_store_confirmed(message.id)
+        return True
+
+    def _reconcile_without_store(self, message: Message) -> bool:
+        """Handles what a process with a store has left in the journal; returns whether it is still open."""
+        if message.awaits_store and message.final_status is None and not message.attempts:
+            self.context.journal.complete(message.id)  # its client was promised nothing
+            return False
+        if message.final_status is None:
+            return True
+        if message.final_status["status"] == STATUS_DELIVERED:
+            self.final_statuses.message_delivered(message)
+            return False
+        if is_reported(message.final_status):
+            self.context.journal.complete(message.id)
+            return False
         return True
 
     def _drop_completed(self, message: Message, stored_status: str | None) -> None:
@@ -157,7 +175,12 @@
     def _end_lost_message(self, store: MessageStore, message_id: str) -> None:
         stored_status = store.stored_final_status(message_id)
         store.recover(None, message_id, True)
+        completed = self.context.journal.completed(message_id)
         if stored_status == STORED_DELIVERED:
             store.final_status_reported(message_id)
+        elif stored_status is None and completed is not None and completed.status == DELIVERED:
+            # A process without a store has delivered it.
+            done = partial(store.final_status_reported, message_id)
+            store.record_final_status(message_id, STORED_DELIVERED, "OK", done)
         else:
             self.final_statuses.report(message_id, final_status_from_stored(stored_status))
--- a/loftrelay/service/configuration.py
+++ b/loftrelay/service/configuration.py
@@ -4,16 +4,11 @@
 
 import logging
 import os
-from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 from loftrelay.config.platform import Config, ConfigChange, ConfigError, reload_config
 from loftrelay.relay.engine import Engine
 from loftrelay.state.last_config import LastConfigFile
 
-if TYPE_CHECKING:
-    from loftrelay.decisions.settings import RelaySettings
-
 log = logging.getLogger(__name__)
 
 
@@ -22,16 +17,14 @@
 
     Args:
         config: Configuration at startup.
-        apply_to_store: Applies new settings to the store of record, if there is one.
 
     Attributes:
         document: Document of the configuration in force, as read from the file.
     """
 
-    def __init__(self, config: Config, apply_to_store: Callable[[RelaySettings], None]) -> None:
+    def __init__(self, config: Config) -> None:
         self.document = config.document
         self.last_config = LastConfigFile(config.state_dir)
-        self.apply_to_store = apply_to_store
 
     def save(self) -> None:
         """Stores the configuration in force for the next start."""
@@ -47,7 +40,6 @@
             log.error("configuration unchanged, the new one is invalid: %s", error)
             return
         self._adopt(reloaded)
-        self.apply_to_store(reloaded.settings)
         engine.apply_settings(reloaded.settings, reloaded.discovery)
         metrics.sighup_applied += 1
 
--- a/loftrelay/service/lifecycle.py
+++ b/loftrelay/service/lifecycle.py
@@ -28,7 +28,6 @@
 from loftrelay.upgrade.sender import HandoverSender, ServiceCallbacks
 
 if TYPE_CHECKING:  # imported at runtime only if configured, which keeps other starts quick
-    from loftrelay.decisions.settings import RelaySettings
     from loftrelay.discovery.settings import SubscriptionSettings
     from loftrelay.gossip.settings import GossipSettings
     from loftrelay.service.gossip_member import GossipMember
@@ -97,7 +96,7 @@
         self.gossip_settings = gossip_settings
         self.subscription = subscription
         self.admin = RelayAdmin(DisabledHostsFile(config.state_dir))
-        self.configuration = ConfigurationReloader(config, self._apply_to_store)
+        self.configuration = ConfigurationReloader(config)
         self.should_exit = asyncio.Event()
         self.owns_state = True
         self.is_reload_pending = False
@@ -126,13 +125,6 @@
         if self.sender is not None and not self.sender.is_owner:
             self.sender.forwarder.configuration_replaced()
 
-    def _apply_to_store(self, settings: RelaySettings) -> None:
-        if self.store_settings is None or self.recorder is None:
-            return
-        from loftrelay.service.store_setup import durability_modes
-
-        self.recorder.modes = {**self.recorder.modes, **durability_modes(settings, self.store_settings)}
-
     # Startup, serving, shutdown
 
     async def run(self) -> None:
--- a/loftrelay/service/startup_reports.py
+++ b/loftrelay/service/startup_reports.py
@@ -43,7 +43,8 @@
 
     async def _run(self) -> None:
         await asyncio.sleep(MIN_STORE_WAIT_S)
-        for message in sorted(self.journal.messages.values(), key=_due_at):
+        promised = [message for message in self.journal.messages.values() if not message.awaits_store]
+        for message in sorted(promised, key=_due_at):
             await asyncio.sleep(max(0.0, (_due_at(message) - wall_clock()) / US_PER_S))
             self._report_if_open(message)
 
--- a/loftrelay/service/store_setup.py
+++ b/loftrelay/service/store_setup.py
@@ -6,14 +6,12 @@
 import logging
 
 from loftrelay.config.platform import Config
-from loftrelay.decisions.settings import DeliverySemantics, RelaySettings
 from loftrelay.journal.journal import Journal
 from loftrelay.service.startup_reports import StartupReports
 from loftrelay.store.backend import StoreUnavailableError
 from loftrelay.store.factory import store_opener
 from loftrelay.store.recorder import Recorder
 from loftrelay.store.settings import StoreSettings
-from loftrelay.store.state_machine import DurabilityMode
 from loftrelay.store.writer import Writer
 
 log = logging.getLogger(__name__)
@@ -22,17 +20,6 @@
 RETRY_INTERVAL_S = 0.5  # between attempts to open a store that is unavailable at startup
 
 
-def durability_modes(settings: RelaySettings, store_settings: StoreSettings) -> dict[str, DurabilityMode]:
-    """Returns the durability mode of each class, which depends on its delivery semantics."""
-    repeatable = (DeliverySemantics.IDEMPOTENT, DeliverySemantics.DEDUPLICATED)
-    return {
-        name: store_settings.repeatable_mode
-        if message_class.semantics in repeatable
-        else store_settings.at_most_once_mode
-        for name, message_class in settings.classes.items()
-    }
-
-
 async def open_store(config: Config, store_settings: StoreSettings, journal: Journal) -> Recorder:
     """Opens the store of record and reads it; retries while the store is unavailable.
 
@@ -55,7 +42,7 @@
     recorder = Recorder(
         writer,
         config.name,
-        durability_modes(config.settings, store_settings),
+        store_settings.durability,
         store_settings.id_retention_us,
         store_settings.record_retention_us,
         store_settings.max_store_wait_s,
--- a/loftrelay/store/recorder.py
+++ b/loftrelay/store/recorder.py
@@ -18,8 +18,15 @@
 from loftrelay.store import state_machine
 from loftrelay.store.admission import AdmissionDecision
 from loftrelay.store.attempt_request import AttemptRequest, RecordPosition
-from loftrelay.store.backend import RecordQuery, StoreBackend, StoreError
+from loftrelay.store.backend import StoreError
+from loftrelay.store.durability import DurabilityPolicy
 from loftrelay.store.pruning import Pruner
+from loftrelay.store.start_records import (
+    is_admission_of,
+    is_delivered_elsewhere,
+    journal_state,
+    read_start_records,
+)
 from loftrelay.store.state_machine import (
     Change,
     ChangeKind,
@@ -41,18 +48,6 @@
 MAX_RECORD_WAIT_S = 0.1  # of a final status for its record; its report is due 0.3 s after the deadline
 
 
-def journal_state(message: Message) -> JournalState:
-    """Returns the state of a message in the journal at a start."""
-    if message.final_status is not None:
-        is_delivered = message.final_status["status"] == "delivered"
-        return JournalState.DELIVERED if is_delivered else JournalState.DECIDED
-    if message.attempt_started_at is not None:
-        return JournalState.IN_FLIGHT
-    if message.first_uncertain_attempt_at is not None:
-        return JournalState.MAY_HAVE_RUN
-    return JournalState.NOT_EXECUTED if message.attempts else JournalState.ADMITTED
-
-
 def _position_of(record: MessageRecord | None, mode: DurabilityMode) -> RecordPosition:
     if record is None:
         return RecordPosition(mode)
@@ -75,7 +70,7 @@
     Args:
         writer: Writes the changes.
         instance: Name of this relay.
-        modes: Durability mode of each class.
+        durability: Durability modes of messages.
         id_retention_us: How long after the decision an id keeps its final status, in microseconds.
         record_retention_us: How long reported records are kept, in microseconds; None: forever.
         max_store_wait_s: How long the store may take for an admission before the client is rejected.
@@ -85,14 +80,14 @@
         self,
         writer: Writer,
         instance: str,
-        modes: Mapping[str, DurabilityMode],
+        durability: DurabilityPolicy,
         id_retention_us: int,
         record_retention_us: int | None = None,
         max_store_wait_s: float = 0.3,
     ) -> None:
         self.writer = writer
         self.instance = instance
-        self.modes = modes
+        self.durability = durability
         self.id_retention_us = id_retention_us
         self.max_store_wait_s = max_store_wait_s
         self.positions: dict[str, RecordPosition] = {}
@@ -113,12 +108,9 @@
         Raises:
             StoreError: The store can't be read.
         """
-        known = await self.writer.call(lambda store: store.read(message_ids))
-        own_records = await self.writer.call(self._own_unfinished)
-        self.records_at_start = {record.message_id: record for record in own_records} | known
-
-    def _own_unfinished(self, store: StoreBackend) -> list[MessageRecord]:
-        return [r for r in store.select(RecordQuery(unfinished=True)) if r.metadata.instance == self.instance]
+        self.records_at_start = await self.writer.call(
+            lambda store: read_start_records(store, self.instance, message_ids)
+        )
 
     def unfinished_without_journal(self, messages: Mapping[str, Message]) -> list[str]:
         """Returns the ids of messages that are unfinished in the store and missing from the journal."""
@@ -131,17 +123,17 @@
     def recover(self, message: Message | None, message_id: str, is_at_most_once: bool) -> RecoveryAction:
         """Returns what a start does with a message, and brings its record up to date with the journal."""
         record = self.records_at_start.pop(message_id, None)
-        class_name = (
-            message.class_name
-            if message is not None
-            else record.metadata.class_name
-            if record is not None
-            else ""
-        )
-        mode = self.modes.get(class_name, DurabilityMode.WRITE_AHEAD)
-        journal = JournalState.ABSENT if message is None else journal_state(message)
-        action = state_machine.reconcile(journal, record, is_at_most_once, mode)
-        if journal is JournalState.DECIDED and record is not None and self._is_delivered_elsewhere(record):
+        mode = self.durability.mode_of(message)
+        journal = journal_state(message)
+        if message is not None and journal is JournalState.AWAITING_STORE:
+            # A record of another admission of the id says nothing about this one.
+            record = record if is_admission_of(record, message, self.instance) else None
+        action = state_machine.reconcile(journal, record, is_at_most_once)
+        if (
+            journal is JournalState.DECIDED
+            and record is not None
+            and is_delivered_elsewhere(record, self.instance)
+        ):
             action = RecoveryAction.COMPLETE
         if action in (RecoveryAction.COMPLETE, RecoveryAction.DISCARD):
             return action
@@ -164,11 +156,6 @@
             self.attempt_ended(message_id, "BROKEN")
         return action
 
-    def _is_delivered_elsewhere(self, record: MessageRecord) -> bool:
-        """Whether another instance has delivered the message, under the id of one that failed here."""
-        is_delivered = record.final_status is StoredFinalStatus.DELIVERED
-        return is_delivered and record.metadata.instance != self.instance
-
     def stored_final_status(self, message_id: str) -> str | None:
         """Returns the final status of a message in the store at the start, or None."""
         record = self.records_at_start.get(message_id)
@@ -180,8 +167,12 @@
 
     # Changes of a message
 
+    def must_confirm(self, message: Message) -> bool:
+        """Returns whether a new message must be committed before its client gets 202."""
+        return self.durability.mode_of(message) is DurabilityMode.WRITE_AHEAD
+
     def admit(self, message: Message, done: Callable[[AdmissionDecision], None]) -> None:
-        """Stores a new message; calls `done` with the result, immediately for WRITE_BEHIND classes.
+        """Stores a new message; calls `done` with the result, immediately for WRITE_BEHIND messages.
 
         The message is rejected if the store is slow, and recorded as rejected if the store has it in the end.
         It is also rejected while an earlier record of its id is not complete.
@@ -189,9 +180,7 @@
         if message.id in self.positions:
             done(self._rejection())
             return
-        position = self.positions[message.id] = RecordPosition(
-            self.modes.get(message.class_name, DurabilityMode.WRITE_AHEAD)
-        )
+        position = self.positions[message.id] = RecordPosition(self.durability.mode_of(message))
         if position.mode is DurabilityMode.WRITE_BEHIND:
             if len(self.writer.queue) >= self.writer.max_queued:
                 self.drop(message.id)
@@ -390,8 +379,7 @@
     async def _dispute_complete_record(self, message_id: str, done: Callable[[], None]) -> None:
         record = await self._read_when_available(message_id)
         if record is not None:
-            mode = self.modes.get(record.metadata.class_name, DurabilityMode.WRITE_AHEAD)
-            self.positions[message_id] = _position_of(record, mode)
+            self.positions[message_id] = _position_of(record, self.durability.mode_of(None))
         self.record_final_status(message_id, StoredFinalStatus.FAILED.value, None, done)
 
     async def _read_when_available(self, message_id: str) -> MessageRecord | None:
--- a/loftrelay/store/settings.py
+++ b/loftrelay/store/settings.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from loftrelay.config.toml_file import Key, SettingsError, read_toml
+from loftrelay.store.durability import DurabilityPolicy
 from loftrelay.store.state_machine import DurabilityMode
 
 DAY_S = 86_400.0
@@ -53,8 +54,7 @@
     call_timeout_s: float
     synchronous: str
     busy_timeout_ms: int
-    at_most_once_mode: DurabilityMode
-    repeatable_mode: DurabilityMode
+    durability: DurabilityPolicy
     max_store_wait_s: float
     max_queued: int
     max_changes_per_commit: int
@@ -80,8 +80,10 @@
         call_timeout_s=values["call_s"],
         synchronous=values["synchronous"],
         busy_timeout_ms=values["busy_ms"],
-        at_most_once_mode=DurabilityMode(values["unsafe"]),
-        repeatable_mode=DurabilityMode(values["repeatable"]),
+        durability=DurabilityPolicy(
+            at_most_once=DurabilityMode(values["unsafe"]),
+            repeatable=DurabilityMode(values["repeatable"]),
+        ),
         max_store_wait_s=values["take_ms"] / 1000,
         max_queued=values["most_queued"],
         max_changes_per_commit=values["most_in_commit"],
--- a/loftrelay/store/state_machine.py
+++ b/loftrelay/store/state_machine.py
@@ -340,6 +340,7 @@
     """State of a message in the journal at a start. The values are descriptions."""
 
     ABSENT = "not in the journal"
+    AWAITING_STORE = "not attempted, its client was promised nothing: the store had not confirmed it"
     ADMITTED = "admitted, never attempted"
     IN_FLIGHT = "an attempt was in flight when the process ended"
     NOT_EXECUTED = "attempted, and has not run"
@@ -349,23 +350,23 @@
 
 
 def reconcile(
-    journal_state: JournalState, record: MessageRecord | None, is_at_most_once: bool, mode: DurabilityMode
+    journal_state: JournalState, record: MessageRecord | None, is_at_most_once: bool
 ) -> RecoveryAction:
     """Returns what a start does with a message.
 
-    A message that the store never had is not claimed as admitted, and an at-most-once message that may have
-    run is not sent again because the store has lost its record.
+    What its client was promised is known from the journal alone: the process that admitted it may have had
+    another store, none, or other settings. An at-most-once message that may have run is not sent again
+    because the store has lost its record.
 
     Args:
         journal_state: State of the message in the journal.
         record: Its record in the store, or None.
         is_at_most_once: Whether the message must not run twice.
-        mode: Durability mode of its class.
     """
     if journal_state is JournalState.ABSENT:
         return _reconcile_record(record)
     if record is None:
-        return _reconcile_journal(journal_state, is_at_most_once, mode)
+        return _reconcile_journal(journal_state, is_at_most_once)
     if record.final_status is StoredFinalStatus.DELIVERED and journal_state is JournalState.DECIDED:
         return RecoveryAction.UPDATE_STORE  # its delivery was disputed
     if record.state is RecordState.REPORTED:
@@ -398,12 +399,10 @@
     )
 
 
-def _reconcile_journal(
-    journal_state: JournalState, is_at_most_once: bool, mode: DurabilityMode
-) -> RecoveryAction:
+def _reconcile_journal(journal_state: JournalState, is_at_most_once: bool) -> RecoveryAction:
     """Returns what a start does with a message that the store does not have."""
-    if mode is DurabilityMode.WRITE_AHEAD and journal_state is JournalState.ADMITTED:
-        return RecoveryAction.DISCARD  # never committed, so the client was never told that it is admitted
+    if journal_state is JournalState.AWAITING_STORE:
+        return RecoveryAction.DISCARD
     if is_at_most_once and journal_state in (JournalState.IN_FLIGHT, JournalState.MAY_HAVE_RUN):
         return RecoveryAction.FAIL
     return (
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -65,6 +65,20 @@
     assert journal.messages["later"].sequence == 7  # numbering continues after a restart
 
 
+def test_journal_keeps_what_the_client_of_a_message_was_promised(tmp_path: Path) -> None:
+    """Over restarts, which copy all messages; a start drops a message whose client was promised nothing."""
+    journal = Journal(tmp_path, MB)
+    for name in ("promised", "awaiting", "confirmed"):
+        message = make_message(name)
+        message.awaits_store = name != "promised"
+        journal.admit(message)
+    journal.record_store_confirmed("confirmed")
+    for _ in range(2):
+        journal = reopen(journal)
+        awaiting = [name for name, message in journal.messages.items() if message.awaits_store]
+        assert awaiting == ["awaiting"]
+
+
 def test_journal_truncated_at_any_byte_of_last_record_keeps_earlier_records(tmp_path: Path) -> None:
     """A process can exit in the middle of a write; earlier complete records must not be lost."""
     journal = Journal(tmp_path / "a", MB)
--- a/tests/relay/test_engine.py
+++ b/tests/relay/test_engine.py
@@ -257,6 +257,9 @@
 
     retry_after_ms = 0
 
+    def must_confirm(self, message: Message) -> bool:
+        return True
+
     def admit(self, message: Message, done: Callable[[StoreDecision], None]) -> None:
         raise AssertionError("this test admits no message through the store")
 
