Server, net: requests and answers of many parts are read in slices, in turn

Cause: limits on a peer were limits of bytes. A read of 64 KiB holds 10,900 chunks, and parsing them took 0.17 s in one pass of the event loop. The same for answers of hosts and discovery, calls at a registry, and surplus answers.

Reading pauses meanwhile, and one read brings 16 KiB but for bodies with a length. Lines of a head are counted before it is parsed.

--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -18,7 +18,7 @@
     ResponseParser,
     ResponseTooLongError,
 )
-from loftrelay.net.shared_buffer import SharedBufferProtocol
+from loftrelay.net.shared_buffer import SharedBufferProtocol, resume_reading
 from loftrelay.net.surplus_responses import SurplusResponses
 from loftrelay.net.unsolicited import (
     OK_STATUS_LINE,
@@ -28,6 +28,7 @@
     peek_unread,
     peek_unread_bytes,
 )
+from loftrelay.tasks.deferred_work import MAX_EVENTS_PER_SLICE, SlicedParsing
 
 MAX_BODY_BYTES = 1 << 20  # of a response, unless the connection sets another limit
 MIN_TRANSFER_RATE_BYTES_PER_S = 4 << 20  # the deadline is extended at this rate for a longer body
@@ -75,6 +76,11 @@
         self.on_request_written: Callable[[], None] | None = None
         self.on_response_head: Callable[[Headers], None] | None = None
         self._parser = ResponseParser(self.http, max_body_bytes)
+        self._parsing = SlicedParsing(
+            lambda: self._parse(partial(self._parser.resume, self, MAX_EVENTS_PER_SLICE)),
+            lambda: self._is_awaiting,
+            lambda: resume_reading(self.transport),
+        )
         self._completion_timeout: float | None = None
         self._completion_timer = UnreadAwareTimer()
         self._deadline_timer = UnreadAwareTimer()
@@ -254,7 +260,8 @@
             assert self.transport is not None
             when = asyncio.get_running_loop().time() + self._completion_timeout
             self._completion_timer.start_at(when, self.transport, self._reject_response)
-        self._parse(data)
+        feed = partial(self._parser.feed, data, self, MAX_EVENTS_PER_SLICE)
+        self._parse(feed, is_at_end=not data)
 
     def _unsolicited_received(self, data: bytes) -> None:
         """Handles the end of the connection or unsolicited data, after which it can't be used again."""
@@ -270,19 +277,23 @@
         if callback is not None:
             callback(kind)
 
-    def _parse(self, data: bytes) -> None:
+    def _parse(self, parse: Callable[[], HttpResponse | None], *, is_at_end: bool = False) -> None:
+        """Parses a slice of a response; one of many parts is continued while other peers are served."""
         try:
-            response = self._parser.feed(data, self)
+            response = parse()
         except ResponseTooLongError as error:
             self._reject_response(error)
         except h11.RemoteProtocolError:
-            if data:
-                self._reject_response()
-            else:
+            if is_at_end:
                 self.connection_lost(None)  # ended in the middle of a response
+            else:
+                self._reject_response()
         else:
             if response is not None:
                 self._complete(response)
+            elif self._parser.is_suspended and self.transport is not None:
+                self.transport.pause_reading()
+                self._parsing.suspend()
 
     def informational_received(self) -> None:
         """Stops the completion timeout; it restarts with the final response, which may come later."""
--- a/loftrelay/net/response_parser.py
+++ b/loftrelay/net/response_parser.py
@@ -8,8 +8,11 @@
 
 import h11
 
+from loftrelay.net.head_size import count_head_lines
 from loftrelay.net.unsolicited import OK_STATUS_LINE, STATUS_LINE_PREFIX
 
+MAX_HEAD_LINES = 256
+
 Headers = Iterable[tuple[bytes, bytes]]  # in the order received, names in lower case
 
 
@@ -77,12 +80,14 @@
         max_body_bytes: Limit on the size of a body.
         max_retained_bytes: Limit on the body of a 200; 0: its body is dropped. Bodies of other statuses are
             dropped then. None: all bodies are retained.
+        is_suspended: Whether `feed` or `resume` has stopped at its limit of events.
     """
 
     def __init__(
         self, http: h11.Connection, max_body_bytes: int, max_retained_bytes: int | None = None
     ) -> None:
         self.http, self.max_body_bytes, self.max_retained_bytes = http, max_body_bytes, max_retained_bytes
+        self.is_suspended = False
         self._body_bytes = 0
         self._head = bytearray()
         self._response: h11.Response | None = None
@@ -95,9 +100,16 @@
             return self._response.status_code == 200
         return b"\n" in self._head and OK_STATUS_LINE.match(self._head) is not None
 
-    def feed(self, data: bytes, listener: ResponseListener) -> HttpResponse | None:
+    def feed(
+        self, data: bytes, listener: ResponseListener, max_events: int | None = None
+    ) -> HttpResponse | None:
         """Parses more data; empty `data` means the end of the connection.
 
+        Args:
+            data: The data.
+            listener: Receives the parts of the response.
+            max_events: Limit on the parsed parts, from which on `resume` continues; None: no limit.
+
         Returns:
             The response if it is complete, else None.
 
@@ -109,8 +121,20 @@
             self._head += data
         if self._head[: len(STATUS_LINE_PREFIX)] != STATUS_LINE_PREFIX[: len(self._head)]:
             raise h11.RemoteProtocolError("response does not start with HTTP/1.")
+        if self._response is None and count_head_lines(self._head) > MAX_HEAD_LINES:
+            raise h11.RemoteProtocolError(f"response head has over {MAX_HEAD_LINES} lines")
         self.http.receive_data(data)
+        return self.resume(listener, max_events)
+
+    def resume(self, listener: ResponseListener, max_events: int | None = None) -> HttpResponse | None:
+        """Parses what was received, as `feed`."""
+        self.is_suspended = False
+        events = 0
         while True:
+            if events == max_events:
+                self.is_suspended = True
+                return None
+            events += 1
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return None
--- a/loftrelay/net/shared_buffer.py
+++ b/loftrelay/net/shared_buffer.py
@@ -14,11 +14,16 @@
 
     `asyncio.Protocol` allocates 256 KiB for each read. Sharing the buffer is safe because the event loop
     passes on the bytes of one read before it starts the next one.
+
+    Attributes:
+        max_read_bytes: Limit on the bytes of one read.
     """
 
-    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - the buffer has one size
-        """Returns the shared buffer."""
-        return _read_buffer
+    max_read_bytes = READ_BUFFER_BYTES
+
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002 - the protocol decides the size
+        """Returns the part of the shared buffer that the next read may fill."""
+        return _read_buffer[: self.max_read_bytes]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on the bytes of one read."""
@@ -27,3 +32,9 @@
     def data_received(self, data: bytes) -> None:
         """Handles received bytes, READ_BUFFER_BYTES at most."""
         raise NotImplementedError
+
+
+def resume_reading(transport: asyncio.ReadTransport | None) -> None:
+    """Reads again after a pause, if there is a connection."""
+    if transport is not None:
+        transport.resume_reading()
--- a/loftrelay/net/surplus_responses.py
+++ b/loftrelay/net/surplus_responses.py
@@ -6,9 +6,11 @@
 
 import h11
 
-from loftrelay.net.response_parser import Headers, ResponseParser, ResponseTooLongError
+from loftrelay.net.response_parser import Headers, HttpResponse, ResponseParser, ResponseTooLongError
+from loftrelay.tasks.deferred_work import MAX_EVENTS_PER_SLICE
 
 MAX_SURPLUS_BODY_BYTES = 64 << 10  # of one response
+MAX_SURPLUS_RESPONSES = 64  # on one connection
 
 
 class SurplusResponses:
@@ -24,6 +26,7 @@
         self.on_end: Callable[[], None] | None = None
         self._unread = bytearray(data)
         self._is_at_end = False
+        self._count = 0
         self._parser = _new_parser()
 
     def read(self, on_status: Callable[[int], None], on_end: Callable[[], None]) -> None:
@@ -52,7 +55,7 @@
 
     def _parse(self, data: bytes) -> None:
         try:
-            while data and (response := self._parser.feed(data, _Ignored())) is not None:
+            while data and (response := self._feed(data)) is not None:
                 data = bytes(self._parser.http.trailing_data[0])
                 self._parser = _new_parser()
                 if self.on_status is not None:
@@ -60,6 +63,15 @@
         except (h11.RemoteProtocolError, ResponseTooLongError):
             self.end()
 
+    def _feed(self, data: bytes) -> HttpResponse | None:
+        """Parses the next response; ends if there are too many, or one in too many parts."""
+        response = self._parser.feed(data, _Ignored(), MAX_EVENTS_PER_SLICE)
+        self._count += response is not None
+        if self._parser.is_suspended or self._count > MAX_SURPLUS_RESPONSES:
+            self.end()
+            return None
+        return response
+
 
 class _Ignored:
     """Takes no notice of the parts of a response."""
--- a/loftrelay/registry/client_connection.py
+++ b/loftrelay/registry/client_connection.py
@@ -10,9 +10,10 @@
 
 import h11
 
-from loftrelay.net.shared_buffer import SharedBufferProtocol
+from loftrelay.net.shared_buffer import SharedBufferProtocol, resume_reading
 from loftrelay.registry.protocol import FullListRequest, encode_error
 from loftrelay.registry.subscriptions import WaitingWatch
+from loftrelay.tasks.deferred_work import MAX_EVENTS_PER_SLICE, SlicedParsing
 
 MAX_HEAD_BYTES = 24 << 10  # of a request
 MAX_DISCARDED_BYTES = 64 << 10  # of a request body, and of data after a rejected request
@@ -63,6 +64,11 @@
         self.is_reading = False
         self.is_discarding = False
         self.is_write_blocked = False
+        self._parsing = SlicedParsing(
+            self._read_events,
+            lambda: not self.is_discarding,
+            lambda: resume_reading(self.transport),
+        )
         self.watch: WaitingWatch | FullListRequest | None = None
         self.watch_timer: asyncio.TimerHandle | None = None
         self.deadline = math.inf
@@ -115,28 +121,41 @@
             self._set_deadline(REQUEST_TIMEOUT_S)
         try:
             self.http.receive_data(data)
-            self._read_events()
         except h11.RemoteProtocolError as error:
             self.reject(error.error_status_hint, str(error))
+        else:
+            self._read_events()
 
     def _read_events(self) -> None:
-        while True:
+        """Parses a slice of a request; one of many parts is continued while other clients are served."""
+        try:
+            has_more = self._read_slice()
+        except h11.RemoteProtocolError as error:
+            self.reject(error.error_status_hint, str(error))
+        else:
+            if has_more and self.transport is not None:
+                self.transport.pause_reading()
+                self._parsing.suspend()
+
+    def _read_slice(self) -> bool:
+        for _ in range(MAX_EVENTS_PER_SLICE):
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                return False
             if isinstance(event, h11.Request):
                 self.request, self.body_bytes = event, 0
             elif isinstance(event, h11.Data):
                 self.body_bytes += len(event.data)
                 if self.body_bytes > MAX_DISCARDED_BYTES:
                     self.reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "a call has no body")
-                    return
+                    return False
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_request()
-                return
+                return False
             else:
                 self.close()
-                return
+                return False
+        return True
 
     def _handle_request(self) -> None:
         if self.http.trailing_data[0]:
@@ -208,6 +227,7 @@
             return
         self.is_discarding, self.body_bytes = True, 0
         self.http = h11.Connection(h11.SERVER)  # the old one may hold unparsed bytes
+        transport.resume_reading()
         self._set_deadline(WRITE_TIMEOUT_S if self.is_write_blocked else LINGER_S)
         try:
             transport.write_eof()
--- a/loftrelay/registry/upstream.py
+++ b/loftrelay/registry/upstream.py
@@ -257,7 +257,9 @@
                 await asyncio.sleep(0)
             elif isinstance(event, h11.EndOfMessage):
                 break
-            elif not isinstance(event, h11.InformationalResponse):
+            elif isinstance(event, h11.InformationalResponse):
+                await asyncio.sleep(0)
+            else:
                 raise ConnectionError("connection closed before the end of the response")
         response.finish()
         if http.their_state is not h11.DONE or http.trailing_data[0]:
--- a/loftrelay/server/http/connection.py
+++ b/loftrelay/server/http/connection.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from functools import partial
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 import h11
 
-from loftrelay.net.shared_buffer import SharedBufferProtocol
+from loftrelay.net.shared_buffer import READ_BUFFER_BYTES, SharedBufferProtocol
 from loftrelay.net.unsolicited import peek_unread
 from loftrelay.relay.clock import wall_clock
 from loftrelay.relay.intake import OVERLOAD_RETRY_AFTER_MS
@@ -18,6 +19,7 @@
 from loftrelay.server.http.exchange import Exchange, ReadResult
 from loftrelay.server.http.lingering_close import LINGER_TIMEOUT_S, LingeringClose
 from loftrelay.server.http.request import RequestError, parse_message
+from loftrelay.tasks.deferred_work import MAX_EVENTS_PER_SLICE, SlicedParsing
 from loftrelay.tasks.supervision import run_isolated
 
 if TYPE_CHECKING:
@@ -25,6 +27,7 @@
 
 REQUEST_TIMEOUT_S = 2.0  # from a request's first byte to its last; for the first request, since connecting
 IDLE_TIMEOUT_S = 3.0  # between two requests
+HEAD_READ_BYTES = 16 << 10  # in one read, of what may take many steps to parse
 MAX_UNSENT_BYTES = 4 << 10  # responses that the client does not read; from here on nothing is read from it
 
 
@@ -57,6 +60,12 @@
         self._exchange = Exchange()
         self._pending_message_id: str | None = None  # message whose response the client waits for
         self._is_write_blocked = False
+        self._parsing = SlicedParsing(
+            lambda: self._read_request(self._exchange.resume),
+            lambda: not (self.is_closing or self.server.is_paused),
+            self.resume_reading,
+        )
+        self.max_read_bytes = HEAD_READ_BYTES
         self._lingering_close = LingeringClose()
 
     # Events of the transport
@@ -95,7 +104,11 @@
     def resume_reading(self) -> None:
         """Reads again, unless the server is paused, or the client does not read its responses."""
         is_paused = self.is_closing or self.server.is_paused or self._is_write_blocked
-        if self.transport is not None and not is_paused:
+        if self.transport is None or is_paused:
+            return
+        if self._parsing.is_suspended:
+            self._parsing.resume()
+        else:
             self.transport.resume_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -112,8 +125,12 @@
             # The timeout of a new client runs since it connected.
             if not self.server.connections.is_new(self):
                 self._set_timeout(REQUEST_TIMEOUT_S)
+        self._read_request(partial(self._exchange.receive, data))
+
+    def _read_request(self, read: Callable[[int], ReadResult]) -> None:
+        """Reads a slice of a request; one of many parts is continued while other clients are served."""
         try:
-            self._read_request(data)
+            self._handle_read(read(MAX_EVENTS_PER_SLICE))
         except h11.RemoteProtocolError as error:
             self._respond_and_close(error.error_status_hint, str(error))
         except RequestError as error:
@@ -194,10 +211,17 @@
         if inherited.partial_request:
             self.data_received(inherited.partial_request)
 
-    def _read_request(self, data: bytes) -> None:
-        match self._exchange.receive(data):
+    def _handle_read(self, result: ReadResult) -> None:
+        is_reading_length = result is ReadResult.INCOMPLETE and self._exchange.is_reading_length
+        self.max_read_bytes = READ_BUFFER_BYTES if is_reading_length else HEAD_READ_BYTES
+        match result:
             case ReadResult.INCOMPLETE:
-                self._write(self._exchange.continue_response())
+                if (continue_response := self._exchange.continue_response()) and self.transport is not None:
+                    self.transport.write(continue_response)
+            case ReadResult.WORK_LEFT:
+                if self.transport is not None:
+                    self.transport.pause_reading()
+                self._parsing.suspend()
             case ReadResult.REQUEST_COMPLETE:
                 self.is_receiving = False
                 self._handle_request()
@@ -249,7 +273,9 @@
         headers = _retry_after(retry_after_ms) if retry_after_ms else []
         if self.server.is_shutting_down:
             headers.append(("Connection", "close"))
-        self._write(self._exchange.response(status, headers, ""))
+        response = self._exchange.response(status, headers, "")
+        if self.transport is not None:
+            self.transport.write(response)
         if self._exchange.start_next():
             self._set_timeout(IDLE_TIMEOUT_S)
             self.server.on_response(self)
@@ -267,13 +293,11 @@
             headers += _retry_after(OVERLOAD_RETRY_AFTER_MS)
         if status == HTTPStatus.METHOD_NOT_ALLOWED and self._exchange.request is not None:
             headers.append(("Allow", self._exchange.allowed_methods))
-        self._write(self._exchange.response(status, headers, reason))
+        response = self._exchange.response(status, headers, reason)
+        if self.transport is not None:
+            self.transport.write(response)
         self.close()
 
-    def _write(self, data: bytes | None) -> None:
-        if data and self.transport is not None:
-            self.transport.write(data)
-
     def _set_timeout(self, seconds: float) -> None:
         self.deadline = asyncio.get_running_loop().time() + seconds
 
--- a/loftrelay/server/http/exchange.py
+++ b/loftrelay/server/http/exchange.py
@@ -13,6 +13,7 @@
     READINESS_PATH,
     RequestError,
     check_body_size,
+    check_head_lines,
     check_head_size,
     validate_head,
 )
@@ -25,6 +26,7 @@
     """Result of parsing received bytes."""
 
     INCOMPLETE = auto()
+    WORK_LEFT = auto()  # more of the received bytes can be parsed
     REQUEST_COMPLETE = auto()
     CONNECTION_CLOSED = auto()
 
@@ -51,22 +53,42 @@
         self._is_discarded = False
         self._connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
 
+    @property
+    def is_reading_length(self) -> bool:
+        """Whether the rest of a body with a Content-Length is awaited, which costs little to read."""
+        return self.request is not None and not self._is_chunked
+
     @property
     def held_bytes(self) -> int:
         """Number of bytes stored of the current request."""
         return len(self.received) + len(self._body)
 
-    def receive(self, data: bytes) -> ReadResult:
+    def receive(self, data: bytes, max_events: int | None = None) -> ReadResult:
         """Adds received bytes.
 
+        Args:
+            data: The bytes.
+            max_events: Limit on the parsed parts, from which on `resume` continues; None: no limit.
+
         Raises:
             RequestError: The request is rejected.
             h11.RemoteProtocolError: The bytes are not valid HTTP/1.1.
         """
         if self.is_resumable:
             self.received += data
+        if self.request is None:
+            check_head_lines(self.received)
         self._connection.receive_data(data)
+        return self.resume(max_events)
+
+    def resume(self, max_events: int | None = None) -> ReadResult:
+        """Parses what was received, as `receive`."""
+        events = 0
         while True:
+            if events == max_events:
+                self._limit_held_bytes()
+                return ReadResult.WORK_LEFT
+            events += 1
             event = self._connection.next_event()
             if event is h11.NEED_DATA:
                 self._limit_held_bytes()
--- a/loftrelay/server/http/request.py
+++ b/loftrelay/server/http/request.py
@@ -12,6 +12,7 @@
 import h11
 
 from loftrelay.decisions.settings import MessageClass
+from loftrelay.net.head_size import count_head_lines
 from loftrelay.relay.message import Message
 from loftrelay.relay.message_terms import AcceptedClasses
 
@@ -80,6 +81,12 @@
         raise RequestError(431, f"a head holds at most {MAX_HEAD_BYTES >> 10} KiB")
 
 
+def check_head_lines(received: bytes | bytearray) -> None:
+    """Raises a RequestError if the head that `received` begins with has too many lines to be parsed."""
+    if count_head_lines(received) > MAX_HEADER_COUNT + 1:  # the request line
+        raise RequestError(431, f"a request has at most {MAX_HEADER_COUNT} headers")
+
+
 def check_body_size(size_bytes: int) -> None:
     """Raises a RequestError if a body exceeds MAX_BODY_BYTES."""
     if size_bytes > MAX_BODY_BYTES:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).parents[1] / "loftrelay"
 ALLOWED_IMPORTS = {
-    "net": set[str](),
+    "net": {"tasks"},
     "tasks": set[str](),
     "config": {"decisions", "net", "state"},
     "state": set[str](),
