Server: with all places taken, an unfinished request gives way to a new client

Cause: a connection in the middle of its request was never closed for another one, for 2 s; idle ones of regular clients were.

Change: a newcomer gets the place of one that has been incomplete for 0.4 s (its client has given up), then of a new client whose first request is incomplete, before that of an idle one. It is answered 503, which is harmless.

Test: test_new_clients_get_their_answers_beside_hundreds_that_write_slowly, three kinds of slow clients.

--- a/loftrelay/server/http/connection.py
+++ b/loftrelay/server/http/connection.py
@@ -26,6 +26,7 @@
     from loftrelay.server.http.server import HTTPServer
 
 REQUEST_TIMEOUT_S = 2.0  # from a request's first byte to its last; for the first request, since connecting
+STALLED_AFTER_S = 0.4  # a client waits so long for its answer; a slower request may lose its connection
 IDLE_TIMEOUT_S = 3.0  # between two requests
 HEAD_READ_BYTES = 16 << 10  # in one read, of what may take many steps to parse
 MAX_UNSENT_BYTES = 4 << 10  # responses that the client does not read; from here on nothing is read from it
@@ -44,6 +45,7 @@
     Attributes:
         transport: None until connected.
         is_receiving: Whether a request has begun and is incomplete.
+        receiving_since: Time at which it has begun, by the event loop's clock.
         is_closing: Whether it is in its lingering close or handed over; received bytes are discarded then.
         deadline: Time at which `on_timeout` is to be called, by the event loop's clock.
         idle_since: Time of its addition or of its last response, by the event loop's clock.
@@ -53,6 +55,7 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.is_receiving = False
+        self.receiving_since = 0.0
         self.is_closing = False
         self.deadline = math.inf
         self.idle_since = 0.0
@@ -122,6 +125,7 @@
             return
         if not self.is_receiving:
             self.is_receiving = True
+            self.receiving_since = asyncio.get_running_loop().time()
             # The timeout of a new client runs since it connected.
             if not self.server.connections.is_new(self):
                 self._set_timeout(REQUEST_TIMEOUT_S)
@@ -162,6 +166,17 @@
         """Whether it is idle and has no unread bytes; a request that has arrived would be lost by a close."""
         return self.is_idle and self.transport is not None and not peek_unread(self.transport)
 
+    def is_stalled(self, now_s: float) -> bool:
+        """Whether a request has been incomplete for so long that its client has given it up."""
+        return now_s - self.receiving_since >= STALLED_AFTER_S and self.is_request_incomplete
+
+    @property
+    def is_request_incomplete(self) -> bool:
+        """Whether a request has begun, and the rest of it has not arrived or takes long to parse."""
+        if not self.is_receiving or self.is_closing:
+            return False
+        return self._parsing.is_suspended or self.transport is None or not peek_unread(self.transport)
+
     def handover_state(self, kind: ClientKind) -> ConnectionState | None:
         """Returns the state from which another process can continue the connection.
 
--- a/loftrelay/server/http/connection_table.py
+++ b/loftrelay/server/http/connection_table.py
@@ -85,16 +85,21 @@
     def choose_eviction(self, new_client: ClientConnection, now_s: float) -> ClientConnection:
         """Selects the connection to close in favor of a new one; the new one if no other can be closed.
 
-        Candidates are the oldest connection without a request, and the longest idle one, where clients with
-        one request precede regular ones. A candidate older than REQUEST_GRACE_S is preferred; if both or
-        neither are, the one without a request.
+        A connection that is older than REQUEST_GRACE_S and has sent no request goes first, then one in the
+        middle of a stalled request, then a new client's whose first request is incomplete. What is left are
+        the longest idle one, where clients with one request precede regular ones, and the oldest without a
+        request: one older than REQUEST_GRACE_S is preferred; if neither is, the one without a request.
         """
         new = self._by_kind[ClientKind.NEW]
         silent = next((c for c in new if c.is_evictable and c is not new_client), None)
+        if silent is not None and now_s - silent.idle_since > REQUEST_GRACE_S:
+            return silent
+        stalled = next((client for client in self.active() if client.is_stalled(now_s)), None)
+        incomplete = next((c for c in new if c.is_request_incomplete and c is not new_client), None)
+        if stalled is not None or incomplete is not None:
+            return stalled or incomplete or new_client
         served = (*self._by_kind[ClientKind.ONCE], *self._by_kind[ClientKind.REGULAR])
         idle = next((c for c in served if c.is_evictable), None)
-        if silent is not None and (idle is None or now_s - silent.idle_since > REQUEST_GRACE_S):
-            return silent
         if idle is not None and (silent is None or now_s - idle.idle_since > REQUEST_GRACE_S):
             return idle
         return silent or idle or new_client
--- a/loftrelay/server/http/server.py
+++ b/loftrelay/server/http/server.py
@@ -159,8 +159,8 @@
         if not self.connections.is_over_limit:
             return
         evicted = self.connections.choose_eviction(client, asyncio.get_running_loop().time())
-        if evicted is client:
-            client.reject("all places are taken")
+        if evicted is client or evicted.is_receiving:
+            evicted.reject("all places are taken")
         else:
             evicted.close()
 
--- a/tests/program/test_greedy_peers.py
+++ b/tests/program/test_greedy_peers.py
@@ -159,6 +159,72 @@
     run_scenario(scenario, tmp_path, policy_limits=POLICY_LIMITS)
 
 
+SLOW_LIMITS = {**LIMITS, "sockets": 256}  # 140 places for clients
+SLOW_CLIENTS = 700
+NEW_CLIENTS = 30
+SLOW_PAUSE_S = 1.0  # after its connection was closed, a slow client connects again
+DRIP_PAUSE_S = 0.2
+LONG_HEAD = format_submission("slow", "status", 1, b"x" * 60_000).partition(b"\r\n\r\n")[0]
+HALF_REQUESTS = {
+    "half-body": LONG_HEAD + b"\r\n\r\n" + b"x" * 30_000,
+    "half-head": LONG_HEAD,
+    "many-fields": LONG_HEAD
+    + b"\r\n"
+    + SHORT_FIELDS[:600].rpartition(b"\r\n")[0]
+    + b"\r\n\r\n"
+    + b"x" * 30_000,
+}
+
+
+async def write_slowly(harness: RelayHarness, beginning: bytes) -> None:
+    """Begins a request again and again, and adds a byte now and then; never completes one."""
+    while True:
+        with contextlib.suppress(OSError):
+            reader, writer = await asyncio.open_connection(*harness.address)
+            with contextlib.closing(writer):
+                writer.write(beginning)
+                while not await is_ended(reader):
+                    writer.write(b"x")
+        await asyncio.sleep(SLOW_PAUSE_S)
+
+
+async def is_ended(reader: asyncio.StreamReader) -> bool:
+    """Reads for DRIP_PAUSE_S; returns whether the relay has closed the connection."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(DRIP_PAUSE_S):
+            while await reader.read(4096):
+                pass
+            return True
+    return False
+
+
+@pytest.mark.parametrize("kind", HALF_REQUESTS)
+def test_new_clients_get_their_answers_beside_hundreds_that_write_slowly(tmp_path: Path, kind: str) -> None:
+    """Those took every place for 2 s, and a client that connected meanwhile got 503."""
+
+    async def scenario(harness: RelayHarness) -> None:
+        harness.limits = SLOW_LIMITS
+        await harness.start_host(respond_ok)
+        await harness.start()
+        slow = [asyncio.create_task(write_slowly(harness, HALF_REQUESTS[kind])) for _ in range(SLOW_CLIENTS)]
+        statuses = [await submit_in_time(harness, f"regular-{number}") for number in range(NEW_CLIENTS)]
+        for task in slow:
+            task.cancel()
+        await asyncio.wait(slow, timeout=TEST_TIMEOUT_S)
+        assert statuses.count(202) >= MIN_SHARE_IN_TIME * len(statuses), statuses
+
+    run_scenario(scenario, tmp_path, policy_limits=POLICY_LIMITS)
+
+
+async def submit_in_time(harness: RelayHarness, name: str) -> int | None:
+    """Submits a message on a new connection; returns the status, or None if it has none in time."""
+    await asyncio.sleep(PAUSE_S)
+    with contextlib.suppress(TimeoutError, OSError, asyncio.IncompleteReadError):
+        async with asyncio.timeout(RESPONSE_WAIT_S):
+            return await harness.submit(name)
+    return None
+
+
 def test_regular_clients_get_their_answers_beside_a_host_that_answers_in_single_bytes(tmp_path: Path) -> None:
     """Its answers are read in slices, too, and still count."""
 
