Server: the choice of a connection to close has its rules in the table

Change: whether a request is stalled or incomplete is decided in connection_table.py, beside the choice; no behaviour changes.

--- a/loftrelay/server/http/connection.py
+++ b/loftrelay/server/http/connection.py
@@ -26,7 +26,6 @@
     from loftrelay.server.http.server import HTTPServer
 
 REQUEST_TIMEOUT_S = 2.0  # from a request's first byte to its last; for the first request, since connecting
-STALLED_AFTER_S = 0.4  # a client waits so long for its answer; a slower request may lose its connection
 IDLE_TIMEOUT_S = 3.0  # between two requests
 HEAD_READ_BYTES = 16 << 10  # in one read, of what may take many steps to parse
 MAX_UNSENT_BYTES = 4 << 10  # responses that the client does not read; from here on nothing is read from it
@@ -47,6 +46,7 @@
         is_receiving: Whether a request has begun and is incomplete.
         receiving_since: Time at which it has begun, by the event loop's clock.
         is_closing: Whether it is in its lingering close or handed over; received bytes are discarded then.
+        parsing: Parsing of received bytes in slices.
         deadline: Time at which `on_timeout` is to be called, by the event loop's clock.
         idle_since: Time of its addition or of its last response, by the event loop's clock.
     """
@@ -63,7 +63,7 @@
         self._exchange = Exchange()
         self._pending_message_id: str | None = None  # message whose response the client waits for
         self._is_write_blocked = False
-        self._parsing = SlicedParsing(
+        self.parsing = SlicedParsing(
             lambda: self._read_request(self._exchange.resume),
             lambda: not (self.is_closing or self.server.is_paused),
             self.resume_reading,
@@ -109,8 +109,8 @@
         is_paused = self.is_closing or self.server.is_paused or self._is_write_blocked
         if self.transport is None or is_paused:
             return
-        if self._parsing.is_suspended:
-            self._parsing.resume()
+        if self.parsing.is_suspended:
+            self.parsing.resume()
         else:
             self.transport.resume_reading()
 
@@ -166,17 +166,6 @@
         """Whether it is idle and has no unread bytes; a request that has arrived would be lost by a close."""
         return self.is_idle and self.transport is not None and not peek_unread(self.transport)
 
-    def is_stalled(self, now_s: float) -> bool:
-        """Whether a request has been incomplete for so long that its client has given it up."""
-        return now_s - self.receiving_since >= STALLED_AFTER_S and self.is_request_incomplete
-
-    @property
-    def is_request_incomplete(self) -> bool:
-        """Whether a request has begun, and the rest of it has not arrived or takes long to parse."""
-        if not self.is_receiving or self.is_closing:
-            return False
-        return self._parsing.is_suspended or self.transport is None or not peek_unread(self.transport)
-
     def handover_state(self, kind: ClientKind) -> ConnectionState | None:
         """Returns the state from which another process can continue the connection.
 
@@ -236,7 +225,7 @@
             case ReadResult.WORK_LEFT:
                 if self.transport is not None:
                     self.transport.pause_reading()
-                self._parsing.suspend()
+                self.parsing.suspend()
             case ReadResult.REQUEST_COMPLETE:
                 self.is_receiving = False
                 self._handle_request()
--- a/loftrelay/server/http/connection_table.py
+++ b/loftrelay/server/http/connection_table.py
@@ -1,18 +1,20 @@
 """Client connections of the server: their limit, and the choice of one to close in favor of a new one.
 
-Does no input or output.
+Does no input or output, but looks whether bytes have arrived that are not read yet.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from loftrelay.net.unsolicited import peek_unread
 from loftrelay.server.http.connection_state import ClientKind
 
 if TYPE_CHECKING:
     from loftrelay.server.http.connection import ClientConnection
 
 MAX_LINGERING = 8  # lingering connections in addition to the limit of active ones
+STALLED_AFTER_S = 0.4  # a client waits so long for its answer; a slower request may lose its connection
 REQUEST_GRACE_S = 0.1  # time for a client to send a request after connecting or getting a response
 
 
@@ -94,8 +96,8 @@
         silent = next((c for c in new if c.is_evictable and c is not new_client), None)
         if silent is not None and now_s - silent.idle_since > REQUEST_GRACE_S:
             return silent
-        stalled = next((client for client in self.active() if client.is_stalled(now_s)), None)
-        incomplete = next((c for c in new if c.is_request_incomplete and c is not new_client), None)
+        stalled = next((client for client in self.active() if _is_stalled(client, now_s)), None)
+        incomplete = next((c for c in new if _is_request_incomplete(c) and c is not new_client), None)
         if stalled is not None or incomplete is not None:
             return stalled or incomplete or new_client
         served = (*self._by_kind[ClientKind.ONCE], *self._by_kind[ClientKind.REGULAR])
@@ -103,3 +105,15 @@
         if idle is not None and (silent is None or now_s - idle.idle_since > REQUEST_GRACE_S):
             return idle
         return silent or idle or new_client
+
+
+def _is_stalled(client: ClientConnection, now_s: float) -> bool:
+    """Returns whether a request has been incomplete for so long that its client has given it up."""
+    return now_s - client.receiving_since >= STALLED_AFTER_S and _is_request_incomplete(client)
+
+
+def _is_request_incomplete(client: ClientConnection) -> bool:
+    """Returns whether a request has begun, and the rest of it has not arrived or takes long to parse."""
+    if not client.is_receiving or client.is_closing:
+        return False
+    return client.parsing.is_suspended or client.transport is None or not peek_unread(client.transport)
