Store: rejected changes leave the writer's queue before their callbacks run

Log: "RuntimeError: deque mutated during iteration".

Cause: `_reject_queued` went over the queue while the callbacks of rejected changes queued further ones (a call that is put back records the outcome of its other messages). The exception came before the rejected changes were taken out: they were stored after all, and the changes that got their numbers next counted as stored.

Change: the rejected changes are taken out first, then settled.

Test: test_rejection_that_queues_another_change_rejects_all_and_stores_none, a store that fails and one that hangs: both failed before, both pass now.

--- a/loftrelay/store/writer.py
+++ b/loftrelay/store/writer.py
@@ -339,9 +339,13 @@
         return await commit
 
     def _reject_queued(self) -> None:
-        """Rejects the queued changes whose step has not been taken."""
-        self._reject_optional(self.queue)
+        """Rejects the queued changes whose step has not been taken.
+
+        They leave the queue first: the rejection of a change may queue others, and gives its number back.
+        """
+        rejected = [item for item in self.queue if item.optional]
         self.queue = deque(item for item in self.queue if not item.optional)
+        self._reject_optional(rejected)
 
     def _reject_optional(self, items: Iterable[QueuedChange]) -> None:
         for item in items:
--- a/tests/store/test_writer.py
+++ b/tests/store/test_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import threading
 from collections.abc import Awaitable, Callable, Iterator, Sequence
 from pathlib import Path
@@ -10,7 +11,7 @@
 import pytest
 
 from loftrelay.store import writer as writer_module
-from loftrelay.store.backend import CommitUncertainError, RecordQuery, StoreUnavailableError
+from loftrelay.store.backend import CommitUncertainError, RecordQuery, StoreError, StoreUnavailableError
 from loftrelay.store.sqlite import SQLiteStore
 from loftrelay.store.state_machine import Change, MessageRecord, RecordRuleError, RecordState
 from loftrelay.store.writer import IdInUseError, StoreBusyError, Writer
@@ -276,3 +277,43 @@
         check.close()
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("is_hanging", [False, True], ids=["unavailable", "hanging"])
+def test_rejection_that_queues_another_change_rejects_all_and_stores_none(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, is_hanging: bool
+) -> None:
+    """The queue changed while it was gone over: rejected changes stayed in it, and took others' numbers."""
+
+    async def scenario(store: FaultyStore, writer: Writer) -> None:
+        errors: list[Exception | None] = []
+
+        def queue_another(error: Exception | None) -> None:
+            errors.append(error)
+            writer.put(make_changes(f"other{len(errors)}")[0])
+
+        monkeypatch.setattr(writer_module, "MAX_COMMIT_S", 0.05 if is_hanging else TEST_TIMEOUT_S)
+        store.faults = [] if is_hanging else ["unavailable"]
+        store.gate.clear()
+        writer.put(make_changes("first")[0])
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while writer.queue:  # its commit has not begun
+                await asyncio.sleep(0)
+        for number in range(3):
+            writer.put(make_changes(f"rejected{number}")[0], queue_another, optional=True)
+        if not is_hanging:
+            store.gate.set()
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while len(errors) < 3:
+                await asyncio.sleep(0.01)
+            store.gate.set()
+            records: set[str] = set()
+            while len(records) < 4:
+                await asyncio.sleep(0.01)
+                with contextlib.suppress(StoreError):
+                    found = await writer.call(lambda s: list(s.select(RecordQuery())))
+                    records = {record.message_id for record in found}
+        assert [type(error) for error in errors] == [StoreBusyError] * 3
+        assert records == {"first", "other1", "other2", "other3"}
+
+    run_scenario(tmp_path, scenario)
