Discovery: only a registry that has heard from discovery since tells of a restart

The registry that knew of it died while discovery was out of reach, and the relay took the older list of the other one for a restart of discovery's revisions.

Cause: freshness.py counted any older revision, and registries that do not answer, toward "all are older"; `age_ms` of the response, which shows that the registry has heard nothing since, was not looked at.

Change: an older revision counts only if its registry has heard from discovery after the relay's own revision; one that is behind counts as one that does not answer, which neither starts the conclusion nor stops it.

Tests: test_subscription_does_not_go_back_to_a_registry_that_has_heard_nothing_since failed before, passes now.

--- a/loftrelay/discovery/freshness.py
+++ b/loftrelay/discovery/freshness.py
@@ -22,6 +22,7 @@
         next_round_at: Earliest time of the next round.
         outdated_since: Time since which registries have responded with older revisions than the relay has.
         outdated: Positions of registries that failed or were outdated since then.
+        accepted_synced_at: When the registries whose revisions were accepted last heard from discovery.
     """
 
     stale_after: float
@@ -31,6 +32,7 @@
     next_round_at: float = -math.inf
     outdated_since: float | None = None
     outdated: set[int] = field(default_factory=set)
+    accepted_synced_at: float = -math.inf
 
     def is_stale(self, age: float) -> bool:
         """Returns whether data of this age, in seconds, is stale."""
@@ -67,23 +69,37 @@
             return True
         return synced_at > current_synced_at + MIN_FRESHNESS_GAIN_S and self.stale_rounds > 0
 
-    def revision_accepted(self) -> None:
-        """Resets the outdated registries: the one in use is not behind the relay."""
+    def revision_accepted(self, synced_at: float) -> None:
+        """Resets the outdated registries: the one in use is not behind the relay.
+
+        Args:
+            synced_at: When it last received a response from discovery.
+        """
+        self.accepted_synced_at = max(self.accepted_synced_at, synced_at)
         self.outdated_since = None
         self.outdated.clear()
 
     def registry_failed(self, position: int) -> None:
-        """Counts a failed registry as outdated while others are."""
+        """Counts a registry that failed, or is behind, as outdated while others are."""
         if self.outdated_since is not None:
             self.outdated.add(position)
 
-    def registry_outdated(self, now: float, position: int, registry_count: int) -> bool:
-        """Counts an outdated registry.
+    def registry_outdated(self, now: float, position: int, registry_count: int, synced_at: float) -> bool:
+        """Counts an outdated registry, unless it has heard nothing since the relay's own revision.
+
+        Args:
+            now: The time in seconds.
+            position: Position of the registry.
+            registry_count: Number of registries.
+            synced_at: When it last received a response from discovery.
 
         Returns:
             Whether all registries have been outdated for so long that discovery must have restarted its
             revisions.
         """
+        if synced_at <= self.accepted_synced_at:
+            self.registry_failed(position)  # it is behind, which tells nothing about discovery
+            return False
         if self.outdated_since is None:
             self.outdated_since = now
             self.outdated.clear()
--- a/loftrelay/discovery/registry_session.py
+++ b/loftrelay/discovery/registry_session.py
@@ -211,15 +211,19 @@
         else:
             self.synchronize(now)
 
-    def registry_outdated(self, now: float) -> None:
+    def registry_outdated(self, now: float, synced_at: float) -> None:
         """Moves to the next registry after a response with an older revision than the relay has.
 
-        Such a registry was paused or has no connection to discovery. If that applies to all registries,
-        discovery has restarted its revisions, and all destinations are resolved again.
+        Such a registry was paused or has no connection to discovery. If all registries have heard older
+        revisions since the relay's own, discovery has restarted them: all destinations are resolved again.
+
+        Args:
+            now: The time in seconds.
+            synced_at: When the registry last received a response from discovery.
         """
         self.counts["older"] += 1
         registry_count = len(self.selection.registries)
-        if not self.freshness.registry_outdated(now, self.selection.position, registry_count):
+        if not self.freshness.registry_outdated(now, self.selection.position, registry_count, synced_at):
             reason = "has an older revision than this relay"
             self.log_registry(reason, reason)
             self._fail_over(now)
--- a/loftrelay/discovery/subscription.py
+++ b/loftrelay/discovery/subscription.py
@@ -248,15 +248,16 @@
                 now, f"serves the fleet {response.fleet[:MAX_NAME_LENGTH]!r}, not {self.fleet}"
             )
             return False
+        synced_at = now - response.age_ms / 1000
         if response.revision < min_revision:
-            self.session.registry_outdated(now)
+            self.session.registry_outdated(now, synced_at)
             return False
         if not self.session.batch.matches(response, change):
             self.session.replace_remote_set(now, "has a different set of destinations than this relay")
             return False
-        self.session.selection.current.synced_at = now - response.age_ms / 1000
+        self.session.selection.current.synced_at = synced_at
         self.has_response = True
-        self.session.freshness.revision_accepted()
+        self.session.freshness.revision_accepted(synced_at)
         return True
 
     def _handle_change_response(
--- a/tests/discovery/test_subscription.py
+++ b/tests/discovery/test_subscription.py
@@ -401,6 +401,26 @@
     assert relay.subscription.mode is Mode.WATCHING
 
 
+def test_subscription_does_not_go_back_to_a_registry_that_has_heard_nothing_since() -> None:
+    """It took the older list of the only registry left for a restart of discovery's revisions."""
+    endpoint_list, registries, relay = make_subscribed_relay(stale_after=6.0)
+    relay.look_up(1)
+    relay.advance(0.1)
+    endpoint_list.set_endpoint("h1", 1, EndpointState.REMOVED)
+    endpoint_list.set_endpoint("h5", 1, EndpointState.ACTIVE)
+    first = relay.current_registry
+    first.sync(relay.now, endpoint_list)
+    relay.advance(0.1)
+    first.is_down = True
+    first.lose_subscriptions()
+    relay.advance(30.0)  # discovery can't be reached
+    assert list(relay.endpoints[1]) == ["h5"]
+    other = next(registry for registry in registries if registry is not first)
+    other.sync(relay.now, endpoint_list)
+    relay.advance(12.0)
+    assert relay.matches(endpoint_list)
+
+
 def test_subscription_resolves_all_destinations_again_when_all_registries_have_older_revisions() -> None:
     """Discovery restarts its revisions. The relay keeps its endpoints until it can conclude that."""
     endpoint_list, _, relay = make_subscribed_relay(stale_after=6.0)
