Store: the schema's version is read under the lock that creates the tables

Cause: `_prepare` read `user_version` outside of the transaction of the migration.

Change: the version is read again after BEGIN IMMEDIATE, and the statements run in that transaction.

Test: test_sqlite_stores_that_are_opened_at_once_on_a_new_file_all_open, 20 rounds of four: failed before in its first round (1 of 4 opened), passes now.

--- a/loftrelay/store/sqlite.py
+++ b/loftrelay/store/sqlite.py
@@ -125,15 +125,27 @@
                     f"{self.path}: journal_mode is {mode!r}, must be 'wal' (write-ahead log)"
                 )
             self.database.execute(f"PRAGMA synchronous={synchronous}")
-            for number in range(version, VERSION):
-                self.database.executescript(
-                    f"BEGIN IMMEDIATE;\n{MIGRATIONS[number]}\nPRAGMA user_version={number + 1};\nCOMMIT;"
-                )
+            if version < VERSION:
+                self._migrate()
         except sqlite3.Error as error:
             if self._code(error) in TRANSIENT_CODES:
                 raise StoreUnavailableError(f"{self.path}: {error}") from error
             raise StoreUnusableError(f"{self.path}: {error}") from error
 
+    def _migrate(self) -> None:
+        """Brings the schema up to date in one transaction; another process may have done so meanwhile."""
+        self.database.execute("BEGIN IMMEDIATE")
+        try:
+            (version,) = self.database.execute("PRAGMA user_version").fetchone()
+            for number in range(version, VERSION):
+                for statement in MIGRATIONS[number].split(";"):
+                    self.database.execute(statement)
+                self.database.execute(f"PRAGMA user_version={number + 1}")
+            self.database.execute("COMMIT")
+        except BaseException:
+            self.database.rollback()
+            raise
+
     @staticmethod
     def _code(error: sqlite3.Error) -> int:
         """Returns the primary result code (https://www.sqlite.org/rescode.html); 0 if there is none."""
--- a/tests/store/test_sqlite.py
+++ b/tests/store/test_sqlite.py
@@ -5,6 +5,7 @@
 import sqlite3
 import subprocess
 import sys
+import threading
 from dataclasses import replace
 from pathlib import Path
 
@@ -24,6 +25,7 @@
 from tests.standins.harness import ROOT
 
 SECOND_US = 1_000_000
+ROUNDS, OPENERS = 20, 4
 
 
 def make_changes(
@@ -321,3 +323,32 @@
     assert len(lines) == 3
     assert [line.split(":")[0] for line in lines] == ["a", "b", "c"]
     store.close()
+
+
+def test_sqlite_stores_that_are_opened_at_once_on_a_new_file_all_open(tmp_path: Path) -> None:
+    """Each read that there is no schema, and all but the first failed: "table messages already exists"."""
+    opened: list[SQLiteStore] = []
+
+    def open_store(path: Path, barrier: threading.Barrier) -> None:
+        barrier.wait(60)
+        while True:
+            try:
+                opened.append(SQLiteStore(path))
+            except StoreUnavailableError:  # a start tries again
+                continue
+            return
+
+    for number in range(ROUNDS):
+        barrier = threading.Barrier(OPENERS)
+        arguments = (tmp_path / f"{number}.sqlite", barrier)
+        threads = [threading.Thread(target=open_store, args=arguments) for _ in range(OPENERS)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join(60)
+        assert len(opened) == OPENERS
+        opened[0].commit(make_changes("m"))
+        assert all("m" in store.read(["m"]) for store in opened)
+        for store in opened:
+            store.close()
+        opened.clear()
