Redelivery: a delivery in doubt is not reported once its dedup window is over

Cause: `delivery_unconfirmed` asked whether the class may run twice, not whether its destination still drops repeats.

Test: test_unconfirmed_delivery_is_not_reported_once_its_dedup_window_is_over, a window of 1 s failed before; both cases pass now.

--- a/loftrelay/relay/redelivery.py
+++ b/loftrelay/relay/redelivery.py
@@ -11,7 +11,11 @@
 from loftrelay.relay.message_state import Stage
 from loftrelay.relay.ports import DisputedDelivery
 from loftrelay.relay.statuses import FAILED, FinalStatusRecord, final_status_record
-from loftrelay.relay.unsettled_deliveries import UnsettledDeliveries, can_send_again
+from loftrelay.relay.unsettled_deliveries import (
+    UnsettledDeliveries,
+    can_send_again,
+    is_dedup_window_open,
+)
 
 log = logging.getLogger(__name__)
 
@@ -49,8 +53,11 @@
 
         Another message is most likely delivered, and is not reported as failed.
         """
-        is_held = self.unsettled.is_held(delivery.message.id)
-        if is_held or self._can_send_again(delivery):
+        message = delivery.message
+        is_held = self.unsettled.is_held(message.id)
+        if not is_dedup_window_open(message, delivery.sent_at, wall_clock()):
+            self.unsettled.settle(message.id)
+        elif is_held or self._can_send_again(delivery):
             self.delivery_disputed(delivery)
 
     def delivery_settled(self, message_id: str) -> None:
--- a/loftrelay/relay/unsettled_deliveries.py
+++ b/loftrelay/relay/unsettled_deliveries.py
@@ -32,6 +32,18 @@
     return message.ordering_key is None and is_repeatable(message.packed_terms)
 
 
+def is_dedup_window_open(message: Message, sent_at: int, now: int) -> bool:
+    """Returns whether the destination still drops duplicates of a message; True if it may run again.
+
+    Args:
+        message: The message.
+        sent_at: When its last attempt was sent, in wall-clock microseconds.
+        now: The time in wall-clock microseconds.
+    """
+    first_attempt_at = min(sent_at, message.first_uncertain_attempt_at or sent_at)
+    return now < first_attempt_at + _dedup_window(message)
+
+
 class UnsettledDeliveries:
     """Messages of one relay that are delivered, unless a later response disputes that."""
 
--- a/tests/relay/test_redelivery.py
+++ b/tests/relay/test_redelivery.py
@@ -9,10 +9,12 @@
 import pytest
 
 from loftrelay.decisions.events import AttemptStatus
+from loftrelay.decisions.settings import DeliverySemantics, MessageClass
 from loftrelay.journal.journal import Journal
 from loftrelay.relay.clock import wall_clock
 from loftrelay.relay.engine import Engine
 from loftrelay.relay.message import Message
+from loftrelay.relay.message_terms import pack
 from loftrelay.relay.ports import AttemptResult, DisputedDelivery
 from loftrelay.relay.statuses import STATUS_FAILED
 from loftrelay.relay.unsettled_deliveries import MAX_HELD_BYTES
@@ -149,6 +151,28 @@
     run_with_engine(tmp_path, scenario)
 
 
+@pytest.mark.parametrize(("window_us", "is_sent_again"), [(1_000_000, False), (8_000_000, True)])
+def test_unconfirmed_delivery_is_not_reported_once_its_dedup_window_is_over(
+    tmp_path: Path, window_us: int, is_sent_again: bool
+) -> None:
+    """It can't be sent again, and is most likely delivered: it was reported as undeliverable."""
+
+    async def scenario(engine: Engine) -> None:
+        now = wall_clock()
+        alarm = MessageClass(
+            "alarm", DeliverySemantics.DEDUPLICATED, "all", window_us, None, LIFETIME_US, None, None, False
+        )
+        sent_at, deadline = now - 2_000_000, now + LIFETIME_US
+        message = Message("m", 1, "alarm", "acme", 1, None, sent_at, deadline, b"body", attempts=1)
+        message.packed_terms = pack(alarm, None)
+        engine.redelivery.delivery_unconfirmed(DisputedDelivery(message, "h", sent_at, has_body=True))
+        engine.context.batch_loop.run_due_batch()
+        assert ("m" in engine.context.scheduler.state.messages) == is_sent_again
+        assert not engine.context.status_reporter.reports  # type: ignore[attr-defined]
+
+    run_with_engine(tmp_path, scenario)
+
+
 def test_dispute_after_a_handover_reaches_the_successor(tmp_path: Path) -> None:
     async def scenario(engine: Engine) -> None:
         message = deliver(engine)
