Relay: neither ssl nor OpenSSL's hashes are loaded

Cause: asyncio and hashlib import them where they are; with libssl and libcrypto they take 6 MB.

Change: the command that runs a relay has both imports fail before asyncio is imported; hashlib's built-in implementations give the same digests, and where they are missing _hashlib stays.

--- a/loftrelay/cli/main.py
+++ b/loftrelay/cli/main.py
@@ -6,6 +6,8 @@
 import sys
 from collections.abc import Sequence
 
+from loftrelay.cli.lean_imports import skip_unused_modules
+
 # A command is imported when it is selected: a relay without a store does not load sqlite3, for instance.
 COMMAND_MODULES = {
     "ctl": "loftrelay.cli.ctl",
@@ -28,6 +30,7 @@
     command_line = sys.argv[1:] if arguments is None else list(arguments)
     if command_line and command_line[0] in COMMAND_MODULES:
         return _run_module(COMMAND_MODULES[command_line[0]], command_line[1:])
+    skip_unused_modules()
     return _run_module(RELAY_MODULE, command_line)
 
 
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -57,3 +57,19 @@
     now[0] += log.PERIOD_S + 0.1
     assert rate_limit.filter(record)
     assert capsys.readouterr().err == f"log: 3 lines dropped, more than {log.MAX_LINES_PER_PERIOD} in 10 s\n"
+
+
+def test_relay_loads_neither_ssl_nor_openssl_hashes() -> None:
+    """They took 6 of the 32 MB that a relay may have."""
+    code = (
+        "import sys\n"
+        "from loftrelay.cli.main import main\n"
+        "try:\n    main(['--help'])\nexcept SystemExit:\n    pass\n"
+        "import hashlib\n"
+        "loaded = [name for name in ('ssl', '_ssl', '_hashlib') if sys.modules.get(name)]\n"
+        "print(loaded, hashlib.sha256(b'').hexdigest()[:8], hashlib.blake2b(b'').hexdigest()[:8])"
+    )
+    completed = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    assert completed.stdout.splitlines()[-1] == "[] e3b0c442 786a02f7"
