Server: a connection that has ended drops its request, its parser and its callbacks

Cause: asyncio's transport and its protocol are a reference cycle, freed by a garbage collection of the oldest generation only; until then the protocol kept up to 80 KiB of an incomplete request. Callers saw a process killed at its limit, whatever that was.

Change: connection_lost discards the exchange, ends the slices of parsing and forgets the transport.

--- a/loftrelay/server/http/connection.py
+++ b/loftrelay/server/http/connection.py
@@ -89,9 +89,16 @@
             self.server.on_connected_while_paused(self, kind)
 
     def connection_lost(self, _exc: Exception | None) -> None:
-        """Cancels the message whose response the client was waiting for."""
+        """Cancels the message whose response the client was waiting for, and releases the request.
+
+        asyncio's transport is garbage until the next collection; it must not keep the request until then.
+        """
         self.server.connections.remove(self)
         self._cancel_pending()
+        self.is_closing = True
+        self._exchange.discard()
+        self.parsing.end()
+        self.transport = None
 
     def pause_writing(self) -> None:
         """Stops reading requests from a client that does not read its responses."""
--- a/loftrelay/server/http/exchange.py
+++ b/loftrelay/server/http/exchange.py
@@ -22,6 +22,9 @@
 MAX_HELD_BYTES = MAX_HEAD_BYTES + MAX_BODY_BYTES
 
 
+_DISCARDED_CONNECTION = h11.Connection(h11.SERVER)  # of all exchanges that are discarded; nothing uses it
+
+
 class ReadResult(Enum):
     """Result of parsing received bytes."""
 
@@ -116,7 +119,7 @@
         self.request = None
         self.received = bytearray()
         self._body = bytearray()
-        self._connection = h11.Connection(h11.SERVER)  # the old one may hold unparsed bytes
+        self._connection = _DISCARDED_CONNECTION  # its own may hold unparsed bytes
 
     def continue_response(self) -> bytes | None:
         """Returns a 100 (Continue) response if the client waits for it before it sends the body; or None."""
--- a/loftrelay/tasks/deferred_work.py
+++ b/loftrelay/tasks/deferred_work.py
@@ -99,6 +99,12 @@
             self._is_queued = True
             deferred_work().submit(self._run)
 
+    def end(self) -> None:
+        """Parses nothing more, and drops the callbacks."""
+        self.is_suspended = False
+        self._parse = self._on_parsed = _do_nothing
+        self._may_continue = _never
+
     def _run(self) -> bool:
         self._is_queued = False
         if self.is_suspended and self._may_continue():
@@ -107,3 +113,10 @@
             if not self.is_suspended:
                 self._on_parsed()
         return False  # `suspend` has submitted the next slice
+
+
+def _do_nothing() -> None: ...
+
+
+def _never() -> bool:
+    return False
