Delivery: a request to a host is encoded part by part, as it is written

Cause: a batch was encoded whole, three times, and kept until its response: 20 messages of 64,000 bytes took megabytes for each call.

Change: the body of a request is an iterator, a message each; the next part is made once those before it are written. The bytes on the wire are as before; a request counts as written with its last part. Calls tell what they take.

--- a/loftrelay/delivery/host_call.py
+++ b/loftrelay/delivery/host_call.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from loftrelay.delivery.connection_pool.actions import PoolErrorKind, UseConnection
@@ -15,6 +16,9 @@
 
 SINGLE_PATH = "/v1/messages"
 BATCH_PATH = "/v1/messages:batch"
+ROW_END = b'"}'
+CALL_BYTES = 8 << 10  # memory of a call and of its response, beside a message
+BASE64_GROUP_BYTES, BASE64_GROUP_CHARS = 3, 4
 
 
 class CallError(Exception):
@@ -73,6 +77,12 @@
         """The ids of the messages."""
         return [message.id for message in self.messages]
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the call takes: one message of it is written at a time."""
+        longest = max(len(message.body) for message in self.messages)
+        return CALL_BYTES + longest * BASE64_GROUP_CHARS // BASE64_GROUP_BYTES
+
     @property
     def send_by(self) -> float:
         """The time by which the last byte must be written."""
@@ -93,39 +103,79 @@
         return dict.fromkeys(self.ids, result)
 
 
+class RunningCalls:
+    """The calls in progress by their tasks, and the memory that they take together."""
+
+    def __init__(self) -> None:
+        self.calls: dict[asyncio.Task[None], HostCall] = {}
+        self.memory_bytes = 0
+
+    def add(self, task: asyncio.Task[None], call: HostCall) -> None:
+        """Adds a call until its task is done."""
+        self.calls[task] = call
+        self.memory_bytes += call.memory_bytes
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.memory_bytes -= self.calls.pop(task).memory_bytes
+
+
 @dataclass(frozen=True, slots=True)
 class EncodedRequest:
-    """The path, headers and body of a request."""
+    """The path, headers and body of a request. The parts of the body are made as they are written."""
 
     path: str
     headers: dict[str, str]
-    body: bytes
+    body: Iterable[bytes]
 
 
 def encode_request(call: HostCall, timeout: float) -> EncodedRequest:
     """Returns the request of a call that has `timeout` seconds left."""
     headers = {"Host": "host", "Request-Timeout-Ms": str(max(1, int(timeout * 1000)))}
+    body: Iterable[bytes]
     if call.options.is_batch:
         path = BATCH_PATH
         headers["Content-Type"] = "application/json"
-        rows = [_batch_row(message) for message in call.messages]
-        body = json.dumps(rows, separators=(",", ":")).encode()
+        rows = [_BatchRow.of(message) for message in call.messages]
+        body, size = _batch_parts(rows), sum(row.size for row in rows) + len(rows) + 1
     else:
         path = SINGLE_PATH
         message = call.messages[0]
         headers["Request-Id"] = message.id
         if message.idempotency_key is not None:
             headers["Idempotency-Key"] = message.idempotency_key
-        body = message.body
-    headers["Content-Length"] = str(len(body))
+        body, size = (message.body,), len(message.body)
+    headers["Content-Length"] = str(size)
     return EncodedRequest(path, headers, body)
 
 
-def _batch_row(message: Message) -> dict[str, str]:
-    """Returns one message of a batch; its key is the idempotency key, or else the ordering key."""
-    key = message.idempotency_key or message.ordering_key
-    return {
-        "id": message.id,
-        **({"key": key} if key else {}),
-        "body": base64.b64encode(message.body).decode(),
-    }
+@dataclass(frozen=True, slots=True)
+class _BatchRow:
+    """One message of a batch as JSON: `head`, the body in Base64, ROW_END."""
+
+    head: bytes
+    body: bytes
+
+    @classmethod
+    def of(cls, message: Message) -> _BatchRow:
+        """Returns the row of a message; its key is the idempotency key, or else the ordering key."""
+        key = message.idempotency_key or message.ordering_key
+        fields = {"id": message.id, **({"key": key} if key else {}), "body": ""}
+        head = json.dumps(fields, separators=(",", ":")).encode()
+        return cls(head.removesuffix(ROW_END), message.body)
+
+    @property
+    def size(self) -> int:
+        """Bytes of the row."""
+        return len(self.head) + BASE64_GROUP_CHARS * -(-len(self.body) // BASE64_GROUP_BYTES) + len(ROW_END)
+
+    def encode(self) -> bytes:
+        """Returns the row."""
+        return self.head + base64.b64encode(self.body) + ROW_END
+
+
+def _batch_parts(rows: Sequence[_BatchRow]) -> Iterator[bytes]:
+    """Iterates over the parts of a batch, a row each."""
+    for number, row in enumerate(rows):
+        yield (b"," if number else b"[") + row.encode()
+    yield b"]"
--- a/loftrelay/delivery/host_client.py
+++ b/loftrelay/delivery/host_client.py
@@ -21,6 +21,7 @@
     BlockedCallError,
     HostCall,
     PoolError,
+    RunningCalls,
     StaleCallError,
     encode_request,
 )
@@ -61,6 +62,7 @@
 # An early response is held for HOLD_FACTOR times the shortest response time, within both maximums.
 HOLD_FACTOR = 4
 MAX_HOLD_S = 1.0
+CONNECTION_BYTES = 6 << 10  # memory of a connection to a host
 MAX_HOLD_FRACTION = 0.9  # of the time left to the deadline of the call
 
 
@@ -123,7 +125,8 @@
         self.on_retry_after = on_retry_after
         self.is_blocked = is_blocked
         self.draining: set[str] = set()
-        self.calls: dict[asyncio.Task[None], HostCall] = {}
+        self._running = RunningCalls()
+        self.calls = self._running.calls
         self.call_count = 0
 
     # Methods of ports.Delivery, called by the engine
@@ -171,8 +174,13 @@
         self.call_count += 1
         call = HostCall(self.call_count, host, messages, options, asyncio.get_running_loop().time())
         task = start_watched(self._run_call(call), f"{host}: call")
-        self.calls[task] = call
-        task.add_done_callback(self.calls.pop)
+        self._running.add(task, call)
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the calls, and of the connections to hosts."""
+        connections = len(self.driver.connections) + len(self.driver.retired.connections)
+        return self._running.memory_bytes + connections * CONNECTION_BYTES
 
     def withdraw_unsent_calls(self) -> list[tuple[Message, str]]:
         """Cancels calls that are not started.
--- a/loftrelay/discovery/http_client.py
+++ b/loftrelay/discovery/http_client.py
@@ -54,7 +54,7 @@
                     connection.close()
                 connect_timeout = min(timeout, connect_timeout or timeout)
                 connection = await Connection.open(self.address, connect_timeout, self.max_body_bytes)
-            response = await connection.request(method, target, headers, body, deadline=deadline)
+            response = await connection.request(method, target, headers, (body,), deadline=deadline)
             self.connection = connection
             return response
         finally:
--- a/loftrelay/net/http.py
+++ b/loftrelay/net/http.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import h11
 
 from loftrelay.net.address import Address
+from loftrelay.net.request_writer import RequestWriter
 from loftrelay.net.response_parser import (
     ConnectionBrokenError,
     ConnectionUnusableError,
@@ -81,6 +82,8 @@
             lambda: self._is_awaiting,
             lambda: resume_reading(self.transport),
         )
+        self._unwritten: RequestWriter | None = None
+        self._is_write_blocked = False
         self._completion_timeout: float | None = None
         self._completion_timer = UnreadAwareTimer()
         self._deadline_timer = UnreadAwareTimer()
@@ -127,7 +130,7 @@
         method: str,
         target: str,
         headers: dict[str, str],
-        body: bytes = b"",
+        body: Iterable[bytes] = (),
         completion_timeout: float | None = None,
         on_request_written: Callable[[], None] | None = None,
         deadline: float | None = None,
@@ -139,7 +142,7 @@
             method: The HTTP method.
             target: The request target.
             headers: The request headers.
-            body: The request body.
+            body: The parts of the request body; each is taken once those before it are written.
             completion_timeout: Seconds from the first byte of the response to the last.
             on_request_written: Called once the operating system has the last byte of the request.
             deadline: For the response, in event loop seconds; extended for a body over MAX_BODY_BYTES.
@@ -159,13 +162,10 @@
         self._parser = ResponseParser(self.http, self.max_body_bytes, self.max_retained_bytes)
         self._completion_timeout = completion_timeout
         head = h11.Request(method=method, target=target, headers=list(headers.items()))
-        data = b"".join(self.http.send(event) or b"" for event in (head, h11.Data(body), h11.EndOfMessage()))
-        self.is_request_written, self.first_byte_at = True, 0.0  # unless write calls pause_writing
-        self.request_written_at = loop.time()
+        self._unwritten = RequestWriter(self.http, head, body)
+        self.is_request_written, self.first_byte_at = False, 0.0
         self.on_request_written, self.on_response_head = on_request_written, on_response_head
-        self.transport.write(data)
-        if self.is_request_written and not self.transport.is_closing():
-            self._notify_request_written()
+        self._write_request()
         if deadline is not None:
             self._deadline_timer.start_at(deadline, self.transport, self._deadline_passed)
         try:
@@ -201,13 +201,12 @@
 
     def pause_writing(self) -> None:
         """Records that part of the request is not written yet."""
-        self.is_request_written = False
+        self._is_write_blocked = True
 
     def resume_writing(self) -> None:
-        """Records that the request is written."""
-        self.is_request_written = True
-        self.request_written_at = asyncio.get_running_loop().time()
-        self._notify_request_written()
+        """Writes the rest of the request."""
+        self._is_write_blocked = False
+        self._write_request()
 
     def eof_received(self) -> bool:
         """Handles the end of the data from the peer."""
@@ -225,7 +224,21 @@
 
     # Callbacks
 
-    def _notify_request_written(self) -> None:
+    def _write_request(self) -> None:
+        """Writes parts of the request until the peer does not take them, or all are written."""
+        assert self.transport is not None
+        while not self._is_write_blocked and self._unwritten is not None:
+            if self.transport.is_closing():
+                return
+            data = self._unwritten.next_bytes()
+            if data:
+                self.transport.write(data)
+            else:
+                self._unwritten = None
+        if self._is_write_blocked or self.is_request_written or self.transport.is_closing():
+            return
+        self.is_request_written = True
+        self.request_written_at = asyncio.get_running_loop().time()
         callback, self.on_request_written = self.on_request_written, None
         if callback is not None:
             callback()
--- a/tests/delivery/test_host_call.py
+++ b/tests/delivery/test_host_call.py
@@ -30,14 +30,15 @@
         *header.items(),
         ("Content-Length", "5"),
     ]
-    assert request.body == b"hello"
+    assert b"".join(request.body) == b"hello"
 
 
 def test_encode_request_batch_sets_path_headers_and_rows() -> None:
     messages = make_message("a", "k", "o"), make_message("b", None, "o"), make_message("c", None, None)
     request = encode_request(make_call(*messages, batch=True), 0.0)
     assert request.path == "/v1/messages:batch"
-    assert request.body == (
+    body = b"".join(request.body)
+    assert body == (
         b'[{"id":"a","key":"k","body":"aGVsbG8="},{"id":"b","key":"o","body":"aGVsbG8="},'
         b'{"id":"c","body":"aGVsbG8="}]'
     )
@@ -45,5 +46,5 @@
         ("Host", "host"),
         ("Request-Timeout-Ms", "1"),
         ("Content-Type", "application/json"),
-        ("Content-Length", str(len(request.body))),
+        ("Content-Length", str(len(body))),
     ]
