Discovery: a list of endpoints that costs more than the memory is not read

Cause: the longest list followed from the time to parse it (2 MiB), not from its cost: 20 bytes of memory a byte.

Change: the longest list is what memory_mb leaves beside an idle process, at that cost, 256 KiB at least; a longer one is refused as too long lists are.

Measured: test_longest_list_follows_from_memory_and_has_a_thousand_endpoints can't be imported before.

--- a/loftrelay/config/resource_limits.py
+++ b/loftrelay/config/resource_limits.py
@@ -17,6 +17,11 @@
 CLIENT_CONNECTIONS_PER_MB = (
     5  # at most; once it is ready, a relay counts their memory (server/http/server.py)
 )
+# A list is not read where it could take more memory than the process leaves: a byte of it costs so much while
+# it is parsed and as entries. A thousand endpoints are always read.
+LIST_MEMORY_BYTES_PER_BYTE = 20
+IDLE_PROCESS_BYTES = 26 << 20
+MIN_LIST_BYTES = 256 << 10
 DEFAULT_DESCRIPTORS = 1024
 DEFAULT_MEMORY_MB = 64
 DEFAULT_DISK_MB = 3
@@ -80,6 +85,19 @@
     )
 
 
+def longest_list_bytes(memory_bytes: int | None, longest_parsed_bytes: int) -> int:
+    """Returns the longest list of endpoints that a relay may read.
+
+    Args:
+        memory_bytes: Limit of the relay's processes; None: not given.
+        longest_parsed_bytes: Longest list that can be parsed without a long pause.
+    """
+    if memory_bytes is None:
+        return longest_parsed_bytes
+    affordable = (memory_bytes - IDLE_PROCESS_BYTES) // LIST_MEMORY_BYTES_PER_BYTE
+    return min(longest_parsed_bytes, max(MIN_LIST_BYTES, affordable))
+
+
 def _compute_journal_bytes(disk_mb: float, has_overrides: bool) -> int:
     """Reserves disk space for the other state files, which are larger if operators can disable hosts."""
     disk_bytes = int(disk_mb * 1_000_000)
--- a/loftrelay/service/assembly.py
+++ b/loftrelay/service/assembly.py
@@ -5,10 +5,12 @@
 from typing import TYPE_CHECKING
 
 from loftrelay.config.platform import Config
+from loftrelay.config.resource_limits import longest_list_bytes
 from loftrelay.delivery.connection_pool.settings import PoolSettings
 from loftrelay.delivery.host_client import HostClient
 from loftrelay.delivery.settlement import DeliveryEvents
 from loftrelay.discovery.client import DiscoveryClient
+from loftrelay.discovery.endpoint_list import MAX_LIST_BYTES
 from loftrelay.discovery.status_reporter import FinalStatusReporter
 from loftrelay.journal.journal import Journal
 from loftrelay.memory.account import MemoryUse
@@ -101,6 +103,7 @@
         engine.endpoints.list_received,
         lambda: engine.endpoints.entries,
         engine.endpoints.list_rejected,
+        longest_list_bytes(config.memory_bytes, MAX_LIST_BYTES),
     )
 
 
--- a/tests/config/test_resource_limits.py
+++ b/tests/config/test_resource_limits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from loftrelay.config.resource_limits import ResourceLimits, compute_limits
+from loftrelay.config.resource_limits import ResourceLimits, compute_limits, longest_list_bytes
 
 
 def make_limits(granted: Mapping[str, Any], calls: int | None = None, **options: bool) -> ResourceLimits:
@@ -57,3 +57,15 @@
 def test_compute_limits_with_invalid_number_raises(granted: Mapping[str, Any]) -> None:
     with pytest.raises((TypeError, ValueError)):
         make_limits(granted)
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "expected"),
+    [(None, 2 << 20), (32, 314_572), (16, 256 << 10), (48, 1_153_433), (192, 2 << 20)],
+)
+def test_longest_list_follows_from_memory_and_has_a_thousand_endpoints(
+    memory_mb: int | None, expected: int
+) -> None:
+    """Issue 67: a list of 2 MiB, read whole, takes more than 32 MB."""
+    memory_bytes = None if memory_mb is None else memory_mb << 20
+    assert longest_list_bytes(memory_bytes, 2 << 20) == expected
