Soak: clients use open connections until the kill, signals come in series, some have a crowd

Cause: the soak's clients opened a connection for each request, so that none was open at the end of a process; SIGTERM was waited for, without the SIGKILL 3.7 s later.

Change: every second client keeps its connection; a process is ended by one of four series of signals, and killed 3.7 s after the first; every third seed has 300 slow and half clients.

--- a/tests/program/test_soak.py
+++ b/tests/program/test_soak.py
@@ -5,6 +5,8 @@
     SOAK_S=1800 SOAK_SEED=7 SOAK_DUPLICATES=100 pytest -q -s tests/program/test_soak.py
 
 SOAK_DUPLICATES limits the duplicates on one connection; CI has one. Responses to orders are not duplicated.
+Every third seed has a crowd of slow and half clients. Half of the clients keep their connections, and use
+them until SIGKILL, which comes 3.7 s after SIGTERM; signals come alone or in series.
 """
 
 from __future__ import annotations
@@ -19,6 +21,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.standins.crowded_relay import CrowdedRelay, Streams, write_figures
 from tests.standins.harness import (
     DEDUPLICATED_CLASS,
     SETTINGS,
@@ -43,6 +46,16 @@
 SUBMISSION_PAUSE_S = 0.03  # mean, of each client
 CLIENTS = 4
 RESTART_INTERVAL_S = 12.0
+KILL_AFTER_SIGTERM_S = 3.7
+SIGNAL_SERIES = (
+    (signal.SIGKILL,),
+    (signal.SIGTERM,),
+    (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM),
+    (signal.SIGTERM, signal.SIGHUP, signal.SIGINT, signal.SIGTERM),
+)
+MAX_SIGNAL_PAUSE_S = 0.3  # between two signals of a series
+CROWD_CLIENTS = 300
+SEEDS_PER_CROWD = 3
 RESPONSE_WAIT_S = 0.4  # of a client
 DUPLICATE_SHARE = 0.2  # of the deliveries
 DUPLICATE_DELAYS_S = (None, 0.05, 0.12)  # None: as the next request arrives
@@ -113,6 +126,7 @@
         self.restarts: list[tuple[float, float]] = []  # signal, ready
         self.peak_kib = 0
         self.disputes = 0
+        self.crowded = CrowdedRelay(harness)
 
     @property
     def is_over(self) -> bool:
@@ -126,8 +140,9 @@
             host.server = await self.harness.start_host(host.respond, destination)
 
     async def submit_messages(self, number: int) -> None:
-        """Submits messages one after the other, each on a new connection."""
+        """Submits messages one after the other; every second client keeps its connection."""
         rng, count = random.Random(f"{SEED} client {number}"), 0
+        streams: Streams | None = None
         while not self.is_over:
             count += 1
             name = f"c{number}-{count}"
@@ -138,11 +153,31 @@
             request = format_submission(
                 name, class_name, destination, path=path, Request_Timeout_Ms=str(int(MESSAGE_TIME_S * 1000))
             )
-            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+            status, kept = "", None
+            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError, IndexError):
                 async with asyncio.timeout(RESPONSE_WAIT_S):
-                    if (await self.harness.send(request))[0] == 202:
-                        self.accepted.append(Submission(name, class_name, due_at))
+                    status, kept = await self._exchange(request, streams)
+            if status == "202":
+                self.accepted.append(Submission(name, class_name, due_at))
+            streams = kept if number % 2 else None
+            if kept is not None and streams is None:
+                kept[1].close()
             await asyncio.sleep(rng.expovariate(1 / SUBMISSION_PAUSE_S))
+        if streams is not None:
+            streams[1].close()
+
+    async def _exchange(self, request: bytes, streams: Streams | None) -> tuple[str, Streams | None]:
+        """Sends a request, on a new connection if none is kept; returns the status and an open connection."""
+        reader, writer = streams or await asyncio.open_connection(*self.harness.address)
+        is_kept = False
+        try:
+            writer.write(request)
+            start, headers, _ = await read_response(reader)
+            is_kept = headers.get("connection") != "close"
+        finally:
+            if not is_kept:
+                writer.close()
+        return start.split()[1], (reader, writer) if is_kept else None
 
     async def disturb_as_client(self) -> None:
         """Sends requests together, long bodies, and parts of requests."""
@@ -160,18 +195,42 @@
             await asyncio.sleep(rng.uniform(0.02, 0.1))
 
     async def restart_often(self) -> None:
-        """Kills the relay, or ends it gracefully, and starts it again."""
+        """Ends the relay by a signal or a series of them, and starts it again."""
         rng = random.Random(f"{SEED} restarts")
         while not self.is_over:
             await asyncio.sleep(rng.uniform(0.5, 1.5) * RESTART_INTERVAL_S)
             if self.is_over:
                 return
             signalled_at = time.time()
-            await self.harness.stop(rng.choice((signal.SIGKILL, signal.SIGTERM)))
+            await self._end(rng)
             self.count_disputes()
+            await self.crowded.stop_crowd()
             await self.harness.start()
+            await self.start_crowd()
             self.restarts.append((signalled_at, time.time()))
 
+    async def _end(self, rng: random.Random) -> None:
+        process = self.harness.process
+        assert process is not None
+        terminated_at = None
+        for signal_number in rng.choice(SIGNAL_SERIES):
+            if process.returncode is not None:
+                break
+            process.send_signal(signal_number)
+            if signal_number is not signal.SIGHUP:
+                terminated_at = terminated_at or time.monotonic()
+            await asyncio.sleep(rng.uniform(0.0, MAX_SIGNAL_PAUSE_S))
+        assert terminated_at is not None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(terminated_at + KILL_AFTER_SIGTERM_S - time.monotonic()):
+                await process.wait()
+        if process.returncode is None:
+            await self.harness.kill()
+
+    async def start_crowd(self) -> None:
+        if SEED % SEEDS_PER_CROWD == 0:
+            await self.crowded.start_crowd("all", CROWD_CLIENTS, SEED)
+
     def count_disputes(self) -> None:
         """Counts the disputed deliveries in the log of the process, which a restart clears."""
         self.disputes += sum("its delivery is doubtful" in line for line in self.harness.log)
@@ -221,16 +280,20 @@
         soak = Soak(harness)
         await soak.start_hosts()
         await harness.start()
-        async with asyncio.TaskGroup() as group:
-            for number in range(CLIENTS):
-                group.create_task(soak.submit_messages(number))
-            group.create_task(soak.disturb_as_client())
-            group.create_task(soak.restart_often())
-            group.create_task(soak.watch_memory())
+        await soak.start_crowd()
+        try:
+            async with asyncio.TaskGroup() as group:
+                for number in range(CLIENTS):
+                    group.create_task(soak.submit_messages(number))
+                group.create_task(soak.disturb_as_client())
+                group.create_task(soak.restart_often())
+                group.create_task(soak.watch_memory())
+        finally:
+            await soak.crowded.stop_crowd()
         await asyncio.sleep(MESSAGE_TIME_S + RESTART_MARGIN_S + REPORT_MARGIN_S)
         soak.count_disputes()
         orders = [submission.name for submission in soak.accepted if submission.class_name == "order"]
-        print(f"soak: seed {SEED}, {DURATION_S:g} s, {soak.summary()}")
+        write_figures(f"soak: seed {SEED}, {DURATION_S:g} s, {soak.summary()}")
         assert len(soak.accepted) > DURATION_S
         assert soak.lost() == []
         assert [name for name in orders if soak.executions[name] > 1] == []
--- a/tests/standins/crowded_relay.py
+++ b/tests/standins/crowded_relay.py
@@ -99,6 +99,8 @@
                 break
             streams = await self._submit(f"regular{number}-{count}", streams)
             await asyncio.sleep(PAUSE_S)
+        if streams is not None:
+            streams[1].close()
 
     async def _submit(self, name: str, streams: Streams | None) -> Streams | None:
         began_at, due_at = time.monotonic(), time.time() + MESSAGE_TIME_MS / 1000
