--- a/loftrelay/journal/records.py
+++ b/loftrelay/journal/records.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import io
 import json
 import struct
 import zlib
 from collections.abc import Callable, Iterator
 from dataclasses import MISSING, dataclass, fields
 from operator import attrgetter
-from typing import Any, ClassVar
+from typing import Any, BinaryIO, ClassVar
 
 from loftrelay.decisions.events import AttemptStatus
 from loftrelay.relay.message import CompletedMessage, Message
@@ -309,22 +310,29 @@
 
 
 def decode_records(data: bytes) -> Iterator[tuple[Record | None, int]]:
-    """Decodes complete records up to the first that is truncated or damaged.
+    """Decodes complete records, as `read_records`, from a part of a segment that begins with a record."""
+    return read_records(io.BytesIO(data), len(data))
+
+
+def read_records(stream: BinaryIO, size: int) -> Iterator[tuple[Record | None, int]]:
+    """Reads complete records, one at a time, up to the first that is truncated or damaged.
 
     Args:
-        data: part of a segment that begins with a record.
+        stream: a segment, at the start of a record.
+        size: number of bytes in the rest of the stream.
 
     Yields:
-        Each record, or None for a record of an unknown kind, and the offset in `data` at which it ends.
+        Each record, or None for a record of an unknown kind, and the offset at which it ends.
     """
     offset = 0
-    while offset + HEADER.size <= len(data):
-        length, checksum = HEADER.unpack_from(data, offset)
-        offset += HEADER.size
-        payload = data[offset : offset + length]
-        if len(payload) < length or zlib.crc32(payload) != checksum:
+    while offset + HEADER.size <= size:
+        length, checksum = HEADER.unpack(stream.read(HEADER.size))
+        offset += HEADER.size + length
+        if offset > size:
+            return
+        payload = stream.read(length)
+        if zlib.crc32(payload) != checksum:
             return
-        offset += length
         line, _, body = payload.partition(b"\n")
         stored = _decode_json(line.decode())
         decode = _DECODERS.get(stored.pop("t"))
--- a/loftrelay/journal/recovery.py
+++ b/loftrelay/journal/recovery.py
@@ -4,10 +4,9 @@
 
 import logging
 import os
-from pathlib import Path
 
 from loftrelay.journal.index import JournalIndex
-from loftrelay.journal.records import decode_records
+from loftrelay.journal.records import read_records
 from loftrelay.journal.segments import Segment, SegmentFiles
 
 log = logging.getLogger(__name__)
@@ -29,24 +28,20 @@
     for number, path in files.paths_on_disk().items():
         segment = files.segments.setdefault(number, Segment(path))
         files.current_number = number
-        data = _read_from(path, segment.size)
         start = segment.size
-        for record, end in decode_records(data):
-            if record is not None:
-                index.apply(record, number, start + end - segment.size)
-            segment.size = start + end
+        with path.open("rb") as file:
+            unread = os.fstat(file.fileno()).st_size - start
+            file.seek(start)
+            for record, end in read_records(file, unread):
+                if record is not None:
+                    index.apply(record, number, start + end - segment.size)
+                segment.size = start + end
         files.record_bytes += segment.size - start
-        if segment.size < start + len(data) and not is_read_only:
+        if segment.size < start + unread and not is_read_only:
             log.warning(
                 "journal segment %s ends with an incomplete or damaged record; truncating at byte %d of %d",
                 path.name,
                 segment.size,
-                start + len(data),
+                start + unread,
             )
             os.truncate(path, segment.size)
-
-
-def _read_from(path: Path, offset: int) -> bytes:
-    with path.open("rb") as file:
-        file.seek(offset)
-        return file.read()
--- a/tests/journal/test_records.py
+++ b/tests/journal/test_records.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+import tracemalloc
 import zlib
 from pathlib import Path
 
 import pytest
 
+from loftrelay.journal.journal import Journal
 from loftrelay.journal.records import HEADER, Record, decode_records, encode_record
+from loftrelay.relay.message import Message
 
 FIXTURES = Path(__file__).parents[1] / "fixtures" / "state_32c0038"
 SEGMENTS = sorted(FIXTURES.glob("journal*/*.log"))
@@ -51,3 +54,20 @@
     assert {"id", "number", "class_name", "tenant", "destination", "key", "taken_at", "deadline"} <= set(
         stored
     )
+
+
+def test_reading_a_segment_takes_the_memory_of_one_record(tmp_path: Path) -> None:
+    """Issue 67: a start read each segment whole, and with what it had held passed 32 MB."""
+    body_bytes, messages = 64_000, 30
+    journal = Journal(tmp_path, 16 * 2 * body_bytes * messages)  # one segment
+    for number in range(messages):
+        journal.admit(Message(f"m{number}", 0, "order", None, 1, None, 0, 1 << 60, b"x" * body_bytes))
+        journal.complete(f"m{number}")
+    journal.close()
+    tracemalloc.start()
+    try:
+        Journal(tmp_path, journal.disk_bytes, is_read_only=True)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 8 * body_bytes
