Server: half requests give way unparsed only beside a crowd; grants in a module of their own

Rejections could nest.

Change: unparsed rejections only within 0.5 s of a rejection in favor of others; the length is found at the end of a head; objects are frozen once, before the first client; grants and rejections stand in server/http/memory_grants.py and do not nest. The test's sampler counted a process twice in the moment of a start (66,544 KiB, 2 x 33,272).

--- a/loftrelay/server/http/connection.py
+++ b/loftrelay/server/http/connection.py
@@ -18,6 +18,7 @@
 from loftrelay.server.http.connection_state import ClientKind, ConnectionState
 from loftrelay.server.http.exchange import Exchange, ReadResult
 from loftrelay.server.http.lingering_close import LINGER_TIMEOUT_S, LingeringClose
+from loftrelay.server.http.memory_grants import MEMORY_SHORTAGE
 from loftrelay.server.http.request import RequestError, RequestHead, is_whole_request, parse_message
 from loftrelay.tasks.deferred_work import MAX_EVENTS_PER_SLICE, SlicedParsing
 from loftrelay.tasks.supervision import run_isolated
@@ -28,7 +29,6 @@
 REQUEST_TIMEOUT_S = 2.0  # from a request's first byte to its last; for the first request, since connecting
 IDLE_TIMEOUT_S = 3.0  # between two requests
 NO_PLACES = "all places are taken"
-MEMORY_SHORTAGE = "no memory is left for the request"
 FIRST_READ_BYTES = 4 << 10  # of a request, before memory is reserved for the rest of it
 HEAD_READ_BYTES = 16 << 10  # in one read, of what may take many steps to parse
 MAX_UNSENT_BYTES = 4 << 10  # responses that the client does not read; from here on nothing is read from it
@@ -143,7 +143,7 @@
             # The timeout of a new client runs since it connected.
             if not self.server.connections.is_new(self):
                 self._set_timeout(REQUEST_TIMEOUT_S)
-            elif self.server.connections.is_full and not is_whole_request(data):
+            elif self.server.memory_grants.is_crowded and not is_whole_request(data):
                 self.reject(NO_PLACES)  # parsing it takes time that whole requests need
                 return
         self._read_request(partial(self._exchange.receive, data))
@@ -206,7 +206,7 @@
         self.is_closing = True
         self._exchange.discard()
         self.max_read_bytes = READ_BUFFER_BYTES
-        self.server.release_memory(self)
+        self.server.memory_grants.release(self)
         self._set_timeout(LINGER_TIMEOUT_S)
         self.server.on_lingering(self)
         if self.transport is not None:
@@ -246,7 +246,7 @@
                 self.is_receiving = False
                 self.max_read_bytes = FIRST_READ_BYTES
                 self._handle_request()
-                self.server.release_memory(self)
+                self.server.memory_grants.release(self)
             case ReadResult.CONNECTION_CLOSED:
                 self.close()
 
@@ -260,7 +260,7 @@
             self.reject(MEMORY_SHORTAGE)
         elif self.transport is not None:
             self.transport.pause_reading()
-            self.server.on_memory_shortage()
+            self.server.memory_grants.on_shortage()
 
     def _handle_request(self) -> None:
         request = self._exchange.request
--- a/loftrelay/server/http/connection_table.py
+++ b/loftrelay/server/http/connection_table.py
@@ -46,11 +46,6 @@
         """Number of active connections."""
         return sum(len(clients) for clients in self._by_kind.values())
 
-    @property
-    def is_full(self) -> bool:
-        """Whether a further connection would exceed the limit."""
-        return self.active_count >= self.limit
-
     @property
     def is_over_limit(self) -> bool:
         """Whether there are more active connections than the limit."""
--- a/loftrelay/server/http/request.py
+++ b/loftrelay/server/http/request.py
@@ -38,7 +38,7 @@
 
 HEAD_END = b"\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
-CONTENT_LENGTH = re.compile(rb"\ncontent-length: *([0-9]{1,9}) *\r", re.IGNORECASE)
+CONTENT_LENGTH = re.compile(rb"\ncontent-length: *([0-9]{1,9}) *(?:\r|$)", re.IGNORECASE)
 TRANSFER_ENCODING = re.compile(rb"\ntransfer-encoding:", re.IGNORECASE)
 MESSAGE_ID = re.compile(r"[!-~]{1,128}")
 TIMEOUT_MS = re.compile(r"[0-9]{1,9}")
--- a/loftrelay/server/http/server.py
+++ b/loftrelay/server/http/server.py
@@ -13,20 +13,19 @@
 from loftrelay.relay.engine import Engine
 from loftrelay.server.http.connection import (
     FIRST_READ_BYTES,
-    MEMORY_SHORTAGE,
     NO_PLACES,
     ClientConnection,
 )
 from loftrelay.server.http.connection_state import ClientKind, ConnectionState
 from loftrelay.server.http.connection_table import ConnectionTable
 from loftrelay.server.http.listener import Listener
+from loftrelay.server.http.memory_grants import MemoryGrants
 from loftrelay.server.http.request_memory import RequestMemory
 from loftrelay.tasks.supervision import run_isolated
 
 log = logging.getLogger(__name__)
 
 TIMEOUT_CHECK_INTERVAL_S = 0.2
-MEMORY_RETRY_INTERVAL_S = 0.02  # while clients wait for memory
 CONNECTION_BYTES = 6 << 10  # memory of a connection: its objects, its transport, and a small request
 CONNECTIONS_FRACTION = 1 / 3  # of the memory that peers may use
 WAITING_FRACTION = 1 / 8  # of it, for what was read from clients that wait for more
@@ -47,7 +46,7 @@
     Attributes:
         connections: All connections.
         request_memory: Memory of unfinished requests.
-        evicted_requests: Number of unfinished requests that were rejected to free their memory.
+        memory_grants: Grants it in turn, and rejects requests in favor of others.
         closed_clients: Number of connections that have ended.
         keeps_idle_connections: Whether idle connections stay open, since no new ones will be accepted.
         is_shutting_down: Whether each response closes its connection.
@@ -58,10 +57,9 @@
         self.engine = engine
         self.connections = ConnectionTable(max_clients)
         self.request_memory = RequestMemory(engine.context.memory, self.connections)
-        self.evicted_requests = 0
+        self.memory_grants = MemoryGrants(self.request_memory)
         self.closed_clients = 0
         engine.context.memory.add_source(MemoryUse.CONNECTIONS, self._connection_bytes)
-        self._memory_timer: asyncio.TimerHandle | None = None
         self.listener = Listener(lambda: ClientConnection(self))
         self.keeps_idle_connections = False
         self.is_shutting_down = False
@@ -183,6 +181,7 @@
             return
         evicted = self.connections.choose_eviction(client, asyncio.get_running_loop().time())
         if evicted is client or evicted.is_receiving:
+            self.memory_grants.note_crowd()
             evicted.reject(NO_PLACES)
         else:
             evicted.close()
@@ -200,7 +199,7 @@
         """Removes a connection that has ended, and releases its memory."""
         self.closed_clients += 1
         self.connections.remove(client)
-        self.release_memory(client)
+        self.memory_grants.release(client)
 
     def on_lingering(self, client: ClientConnection) -> None:
         """Records that a connection has begun its lingering close; ends the oldest if there are too many."""
@@ -226,43 +225,6 @@
         max_waiting = max(MIN_CLIENTS, int(free_bytes * WAITING_FRACTION) // FIRST_READ_BYTES)
         self.request_memory.max_waiting = max_waiting
 
-    def release_memory(self, client: ClientConnection) -> None:
-        """Releases the memory of a request that is complete or given up; others may use it then."""
-        self.request_memory.release(client)
-        if self.request_memory.has_waiting:
-            self.on_memory_shortage()
-
-    def on_memory_shortage(self) -> None:
-        """Has memory granted in the next pass of the event loop, and again until no client waits."""
-        while (client := self.request_memory.choose_surplus_waiting()) is not None:
-            self._evict(client)
-        if self._memory_timer is None:
-            self._memory_timer = asyncio.get_running_loop().call_later(0, self._grant_memory)
-
-    def reject_largest_requests(self) -> None:
-        """Rejects unfinished requests, the largest first, while more memory is in use than there is."""
-        while (
-            self.engine.context.memory.is_exceeded and (client := self.request_memory.largest()) is not None
-        ):
-            self._evict(client)
-
-    def _grant_memory(self) -> None:
-        self._memory_timer = None
-        loop = asyncio.get_running_loop()
-        evicted = self.request_memory.choose_eviction(loop.time())
-        if evicted is not None:
-            self._evict(evicted)
-        for client in self.request_memory.grant_waiting():
-            client.resume_reading()
-        if self.request_memory.has_waiting and self._memory_timer is None:
-            delay = 0 if evicted is not None else MEMORY_RETRY_INTERVAL_S
-            self._memory_timer = loop.call_later(delay, self._grant_memory)
-
-    def _evict(self, client: ClientConnection) -> None:
-        self.evicted_requests += 1
-        self.request_memory.release(client)
-        client.reject(MEMORY_SHORTAGE)
-
     def _connection_bytes(self) -> int:
         connections = self.connections.active_count + len(self.connections.lingering)
         return connections * CONNECTION_BYTES + self.request_memory.waiting_count * FIRST_READ_BYTES
--- a/loftrelay/service/lifecycle.py
+++ b/loftrelay/service/lifecycle.py
@@ -317,7 +317,7 @@
             max_clients=self.config.client_descriptors,
             predecessor_pid=lambda: None if receiver is None else receiver.predecessor_pid,
         )
-        guard.calibrate()
+        guard.start()
         self.admin.metric_sources.append(guard.metric_lines)
         self.memory_watch = start_watched(guard.run(), "watch of memory")
 
--- a/loftrelay/service/memory_guard.py
+++ b/loftrelay/service/memory_guard.py
@@ -55,27 +55,14 @@
         self._collected_clients = 0
         self._next_report_at = 0.0
 
-    def calibrate(self) -> None:
-        """Sets the capacity by what the process takes now, before it serves clients.
+    def start(self) -> None:
+        """Sets the capacity before the process serves clients.
 
         What is there now is left out of garbage collections from now on, which makes them cheap.
         """
         gc.collect()
         gc.freeze()
-        resident = resident_bytes()
-        if resident is None:
-            return
-        self._predecessor = self.predecessor_pid()
-        self.account.calibrate(self.limit_bytes, resident, self._other_process_bytes(resident))
-        assert self.account.capacity_bytes is not None
-        self.server.limit_connections(self.max_clients, self.account.free_bytes)
-        log.info(
-            "memory: %d KiB resident, limit %d KiB, %d KiB for clients and messages, at most %d clients",
-            resident // KIB,
-            self.limit_bytes // KIB,
-            self.account.capacity_bytes // KIB,
-            self.server.connections.limit,
-        )
+        self._calibrate()
 
     async def run(self) -> None:
         """Observes the memory until it is cancelled."""
@@ -86,7 +73,7 @@
     def observe(self) -> None:
         """Compares the account with the resident memory, and rejects requests if that is too much."""
         if self._predecessor is not None and not resident_bytes(self._predecessor):
-            self.calibrate()
+            self._calibrate()
         if self.server.closed_clients - self._collected_clients >= CLOSED_CLIENTS_PER_COLLECTION:
             self._collected_clients = self.server.closed_clients
             gc.collect()
@@ -94,7 +81,7 @@
         if resident is None:
             return
         self.account.observe(resident)
-        self.server.reject_largest_requests()
+        self.server.memory_grants.reject_largest()
         self._report()
 
     def metric_lines(self) -> list[str]:
@@ -106,9 +93,26 @@
             f"app.memory_limit={self.limit_bytes}",
             f"app.memory_capacity={account.capacity_bytes or 0}",
             *used,
-            f"app.memory_evicted={self.server.evicted_requests}",
+            f"app.memory_evicted={self.server.memory_grants.evicted_count}",
         ]
 
+    def _calibrate(self) -> None:
+        """Sets the capacity by what the process takes now."""
+        resident = resident_bytes()
+        if resident is None:
+            return
+        self._predecessor = self.predecessor_pid()
+        self.account.calibrate(self.limit_bytes, resident, self._other_process_bytes(resident))
+        assert self.account.capacity_bytes is not None
+        self.server.limit_connections(self.max_clients, self.account.free_bytes)
+        log.info(
+            "memory: %d KiB resident, limit %d KiB, %d KiB for clients and messages, at most %d clients",
+            resident // KIB,
+            self.limit_bytes // KIB,
+            self.account.capacity_bytes // KIB,
+            self.server.connections.limit,
+        )
+
     def _other_process_bytes(self, resident: int) -> int:
         """Returns the memory to leave to another process of the relay."""
         if self._predecessor is not None:
@@ -127,7 +131,7 @@
             self._was_short = self.account.is_short
             state = "is short" if self._was_short else "is no longer short"
             log.warning("memory %s: %s", state, self._describe())
-        evictions = self.server.evicted_requests - self._reported_evictions
+        evictions = self.server.memory_grants.evicted_count - self._reported_evictions
         if evictions and now >= self._next_report_at:
             self._reported_evictions += evictions
             self._next_report_at = now + REPORT_INTERVAL_S
--- a/tests/program/test_soak.py
+++ b/tests/program/test_soak.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tests.standins.crowded_relay import CrowdedRelay, Streams, write_figures
+from tests.standins.crowded_relay import CrowdedRelay, Streams, exchange, write_figures
 from tests.standins.harness import (
     DEDUPLICATED_CLASS,
     SETTINGS,
@@ -156,7 +156,8 @@
             status, kept = "", None
             with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError, IndexError):
                 async with asyncio.timeout(RESPONSE_WAIT_S):
-                    status, kept = await self._exchange(request, streams)
+                    opened = streams or await asyncio.open_connection(*self.harness.address)
+                    status, kept = await exchange(request, opened)
             if status == "202":
                 self.accepted.append(Submission(name, class_name, due_at))
             streams = kept if number % 2 else None
@@ -166,19 +167,6 @@
         if streams is not None:
             streams[1].close()
 
-    async def _exchange(self, request: bytes, streams: Streams | None) -> tuple[str, Streams | None]:
-        """Sends a request, on a new connection if none is kept; returns the status and an open connection."""
-        reader, writer = streams or await asyncio.open_connection(*self.harness.address)
-        is_kept = False
-        try:
-            writer.write(request)
-            start, headers, _ = await read_response(reader)
-            is_kept = headers.get("connection") != "close"
-        finally:
-            if not is_kept:
-                writer.close()
-        return start.split()[1], (reader, writer) if is_kept else None
-
     async def disturb_as_client(self) -> None:
         """Sends requests together, long bodies, and parts of requests."""
         rng, count = random.Random(f"{SEED} disturbances"), 0
--- a/tests/server/http/test_ended_connections.py
+++ b/tests/server/http/test_ended_connections.py
@@ -34,7 +34,7 @@
 
     async def scenario() -> None:
         server = MagicMock(is_paused=False)
-        server.connections.is_full = False
+        server.memory_grants.is_crowded = False
         connection = ClientConnection(server)
         connection.connection_made(MagicMock(spec=asyncio.Transport))
         connection.data_received(received)
--- a/tests/standins/crowded_relay.py
+++ b/tests/standins/crowded_relay.py
@@ -44,6 +44,20 @@
     return 0
 
 
+async def exchange(request: bytes, streams: Streams) -> tuple[str, Streams | None]:
+    """Sends a request; returns the status and the connection, closed and None unless it stays open."""
+    reader, writer = streams
+    is_kept = False
+    try:
+        writer.write(request)
+        start, headers, _ = await read_response(reader)
+        is_kept = headers.get("connection") != "close"
+    finally:
+        if not is_kept:
+            writer.close()
+    return start.split()[1], streams if is_kept else None
+
+
 @dataclass
 class MemoryWatch:
     """Resident memory of the relay's processes, sampled.
@@ -64,7 +78,7 @@
 
     def sample(self) -> None:
         both = [each for each in (self.harness.process, self.harness.predecessor) if each is not None]
-        running = [process.pid for process in both if process.returncode is None]
+        running = {process.pid for process in both if process.returncode is None}
         self.peak_kib = max([self.peak_kib, *(memory_kib(pid, "VmHWM") for pid in running)])
         if len(running) > 1:
             self.pair_kib = max(self.pair_kib, sum(memory_kib(pid, "VmRSS") for pid in running))
@@ -122,20 +136,8 @@
         """Sends a request; once more on a new connection if the relay has closed the one that was kept."""
         if streams is not None:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, IndexError):
-                return await self._exchange_on(request, streams)
-        return await self._exchange_on(request, await asyncio.open_connection(*self.harness.address))
-
-    async def _exchange_on(self, request: bytes, streams: Streams) -> tuple[str, Streams | None]:
-        reader, writer = streams
-        is_kept = False
-        try:
-            writer.write(request)
-            start, headers, _ = await read_response(reader)
-            is_kept = headers.get("connection") != "close"
-        finally:
-            if not is_kept:
-                writer.close()
-        return start.split()[1], streams if is_kept else None
+                return await exchange(request, streams)
+        return await exchange(request, await asyncio.open_connection(*self.harness.address))
 
     def lost(self, ready_again_at: float) -> list[str]:
         """Returns the accepted messages that were neither delivered nor reported in time."""
